--- /dev/null
+++ b/cmd/lacewingdrift/audit.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/audit"
+)
+
+const auditUsage = `Audit prints who changed what, when and why, in the order of time; acts that were
+refused stand there too.`
+
+func auditCommand() *cobra.Command {
+	var cl client
+	var since time.Duration
+	var object, who string
+	c := &cobra.Command{
+		Use:     "audit",
+		Short:   "Print the audit trail",
+		Long:    auditUsage,
+		Example: "  lacewingdrift audit --since 24h --object pool/letters --who rosa",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			query := url.Values{"object": {object}, "who": {who}}
+			if since > 0 {
+				query.Set("since", time.Now().Add(-since).UTC().Format(time.RFC3339))
+			}
+			var list []audit.Change
+			if err := cl.call(http.MethodGet, "/v1/audit?"+query.Encode(), nil, &list); err != nil {
+				return err
+			}
+			return cl.print(c.OutOrStdout(), list, func(w io.Writer) { printAudit(w, list) })
+		},
+	}
+	c.Flags().DurationVar(&since, "since", 0, "how far back, as 24h; 0 is all")
+	c.Flags().StringVar(&object, "object", "", "a part of KIND/NAME")
+	c.Flags().StringVar(&who, "who", "", "whose acts")
+	return cl.flags(c)
+}
+
+func printAudit(w io.Writer, list []audit.Change) {
+	for _, c := range list {
+		note := c.Reason
+		if c.Forced {
+			note += " [forced]"
+		}
+		if c.Refused != "" {
+			note += " [refused: " + c.Refused + "]"
+		}
+		fmt.Fprintf(w, "%s %-12s %-8s %-30s %s\n", c.When.Format("2006-01-02 15:04:05.000"), c.Who, c.Act, c.Object, note)
+	}
+}
--- /dev/null
+++ b/cmd/lacewingdrift/serve.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/journal"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/process"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/transport"
+)
+
+const serveUsage = `Serve runs one node until it is told to stop.
+
+The settings file says who the node is, where it listens and where the platform
+is; everything else comes from the platform. SIGTERM is a planned stop: the node
+turns not ready, hands over what it owns, finishes what runs, and exits with 0. A
+second signal ends it at once.`
+
+func serveCommand() *cobra.Command {
+	var file string
+	var print bool
+	c := &cobra.Command{
+		Use:   "serve --settings FILE",
+		Short: "Run one node",
+		Long:  serveUsage,
+		Example: `  lacewingdrift serve --settings node.toml
+  lacewingdrift serve --print-settings`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if print {
+				text, err := settings.Default().Print()
+				fmt.Fprint(c.OutOrStdout(), text)
+				return err
+			}
+			s, err := settings.Read(file)
+			if err != nil {
+				return err
+			}
+			return serve(s)
+		},
+	}
+	c.Flags().StringVar(&file, "settings", "lacewingdrift.toml", "the node's settings file")
+	c.Flags().BoolVar(&print, "print-settings", false, "print the defaults and exit")
+	return c
+}
+
+func serve(s settings.Settings) error {
+	transport.TakeSignals()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	log := journal.New(journal.Config{Level: s.Log.Level, Format: s.Log.Format, Out: os.Stderr})
+	journal.Adopt(log)
+	p, err := process.Start(process.Config{Settings: s, Log: log, Seed: rand.Uint64()})
+	if err != nil {
+		return err
+	}
+	<-signals
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-signals
+		cancel()
+	}()
+	p.Stop(ctx)
+	return nil
+}
--- /dev/null
+++ b/internal/catalog/bundle/bundle.go
@@ -0,0 +1,110 @@
+package bundle
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/datacentre"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/fault"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/pipeline"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/pool"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/release"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/stage"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/team"
+)
+
+// file is the shape of one TOML file.
+type file struct {
+	Datacentres []datacentre.Datacentre `toml:"datacentre"`
+	Pools       []pool.Pool             `toml:"pool"`
+	Stages      []stage.Stage           `toml:"stage"`
+	Pipelines   []pipeline.Pipeline     `toml:"pipeline"`
+	Teams       []team.Team             `toml:"team"`
+}
+
+// Bundle is a set with the file that each object came from.
+type Bundle struct {
+	Set   release.Set
+	files map[string]string
+}
+
+// Read reads every .toml file of a directory and lists all faults, each with its file.
+func Read(dir string) (Bundle, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.toml"))
+	if err != nil {
+		return Bundle{}, merry.Prepend(err, "read objects")
+	}
+	if len(paths) == 0 {
+		return Bundle{}, merry.Errorf("read objects: %s has no .toml file", dir)
+	}
+	sort.Strings(paths)
+	b := Bundle{Set: release.NewSet(), files: map[string]string{}}
+	var list fault.List
+	for _, p := range paths {
+		data, err := os.ReadFile(p)
+		if err != nil {
+			return Bundle{}, merry.Prepend(err, "read objects")
+		}
+		list = append(list, b.Add(filepath.Base(p), data)...)
+	}
+	return b, append(list, b.Validate()...).Err()
+}
+
+// New makes an empty bundle.
+func New() Bundle { return Bundle{Set: release.NewSet(), files: map[string]string{}} }
+
+// Add takes the objects of one file in and lists what cannot be read or stands twice.
+func (b Bundle) Add(name string, data []byte) fault.List {
+	var f file
+	d := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return decodeFaults(name, err)
+	}
+	var list fault.List
+	list = append(list, add(b, name, datacentre.Kind, f.Datacentres, datacentre.Datacentre.WithDefaults, func(d datacentre.Datacentre) string { return d.Name })...)
+	list = append(list, add(b, name, pool.Kind, f.Pools, pool.Pool.WithDefaults, func(p pool.Pool) string { return p.Name })...)
+	list = append(list, add(b, name, stage.Kind, f.Stages, stage.Stage.WithDefaults, func(s stage.Stage) string { return s.Name })...)
+	list = append(list, add(b, name, pipeline.Kind, f.Pipelines, pipeline.Pipeline.WithDefaults, func(p pipeline.Pipeline) string { return p.Name })...)
+	return append(list, add(b, name, team.Kind, f.Teams, team.Team.WithDefaults, func(t team.Team) string { return t.Name })...)
+}
+
+func add[T any](b Bundle, file, kind string, objects []T, defaults func(T) T, name func(T) string) fault.List {
+	var list fault.List
+	for _, o := range objects {
+		o = defaults(o)
+		if !b.Set.Add(o) {
+			list = append(list, fault.Fault{File: file, Kind: kind, Name: name(o), Field: "name", Text: "stands twice, also in " + b.files[kind+"/"+name(o)]})
+		}
+		b.files[kind+"/"+name(o)] = file
+	}
+	return list
+}
+
+// Validate lists the faults of the set, each with its file.
+func (b Bundle) Validate() fault.List {
+	list := b.Set.Validate()
+	for i, f := range list {
+		list[i].File = b.files[f.Kind+"/"+f.Name]
+	}
+	return list
+}
+
+func decodeFaults(name string, err error) fault.List {
+	var strict *toml.StrictMissingError
+	if !errors.As(err, &strict) {
+		return fault.List{{File: name, Kind: "file", Field: "toml", Text: err.Error()}}
+	}
+	var list fault.List
+	for _, e := range strict.Errors {
+		key := e.Key()
+		list = append(list, fault.Fault{File: name, Kind: key[0], Field: strings.Join(key[min(1, len(key)-1):], "."), Text: "is not known"})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/catalog/pipeline/doc.go
@@ -0,0 +1,2 @@
+// Package pipeline holds the pipeline object: stages in order under one deadline.
+package pipeline
--- /dev/null
+++ b/internal/catalog/pool/doc.go
@@ -0,0 +1,2 @@
+// Package pool holds the pool object: targets of one kind and what each of them may bear.
+package pool
--- /dev/null
+++ b/internal/catalog/release/set.go
@@ -0,0 +1,220 @@
+package release
+
+import (
+	"bytes"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/datacentre"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/fault"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/pipeline"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/pool"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/stage"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/team"
+)
+
+// Kinds lists the kinds of object that operators edit.
+var Kinds = []string{datacentre.Kind, pool.Kind, stage.Kind, pipeline.Kind, team.Kind}
+
+// Set is every object that is published together.
+type Set struct {
+	Datacentres map[string]datacentre.Datacentre
+	Pools       map[string]pool.Pool
+	Stages      map[string]stage.Stage
+	Pipelines   map[string]pipeline.Pipeline
+	Teams       map[string]team.Team
+}
+
+// NewSet gives an empty set.
+func NewSet() Set {
+	return Set{
+		Datacentres: map[string]datacentre.Datacentre{},
+		Pools:       map[string]pool.Pool{},
+		Stages:      map[string]stage.Stage{},
+		Pipelines:   map[string]pipeline.Pipeline{},
+		Teams:       map[string]team.Team{},
+	}
+}
+
+// Object is one object of any kind, as JSON with its defaults filled in.
+type Object struct {
+	Kind  string          `json:"kind"`
+	Name  string          `json:"name"`
+	Value json.RawMessage `json:"value"`
+}
+
+// Objects lists the set by kind and name.
+func (s Set) Objects() []Object {
+	var list []Object
+	list = appendObjects(list, datacentre.Kind, s.Datacentres)
+	list = appendObjects(list, pool.Kind, s.Pools)
+	list = appendObjects(list, stage.Kind, s.Stages)
+	list = appendObjects(list, pipeline.Kind, s.Pipelines)
+	return appendObjects(list, team.Kind, s.Teams)
+}
+
+func appendObjects[T any](list []Object, kind string, all map[string]T) []Object {
+	names := make([]string, 0, len(all))
+	for n := range all {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		value, err := json.Marshal(all[n])
+		if err != nil {
+			panic("release: object cannot be written: " + err.Error())
+		}
+		list = append(list, Object{Kind: kind, Name: n, Value: value})
+	}
+	return list
+}
+
+// Decode reads one object, refusing unknown fields, and lists its faults.
+func Decode(kind, name string, value []byte) (any, fault.List) {
+	switch kind {
+	case datacentre.Kind:
+		return decode(kind, name, value, datacentre.Datacentre.WithDefaults, datacentre.Datacentre.Validate)
+	case pool.Kind:
+		return decode(kind, name, value, pool.Pool.WithDefaults, pool.Pool.Validate)
+	case stage.Kind:
+		return decode(kind, name, value, stage.Stage.WithDefaults, stage.Stage.Validate)
+	case pipeline.Kind:
+		return decode(kind, name, value, pipeline.Pipeline.WithDefaults, pipeline.Pipeline.Validate)
+	case team.Kind:
+		return decode(kind, name, value, team.Team.WithDefaults, team.Team.Validate)
+	}
+	return nil, fault.List{{Kind: kind, Name: name, Field: "kind", Text: "is not known"}}
+}
+
+func decode[T any](kind, name string, value []byte, defaults func(T) T, check func(T) fault.List) (any, fault.List) {
+	var t T
+	d := json.NewDecoder(bytes.NewReader(value))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&t); err != nil {
+		return nil, fault.List{{Kind: kind, Name: name, Field: "value", Text: err.Error()}}
+	}
+	t = defaults(t)
+	return t, check(t)
+}
+
+// Add puts a decoded object into the set; false if the set has one of that name.
+func (s Set) Add(object any) bool {
+	switch o := object.(type) {
+	case datacentre.Datacentre:
+		return put(s.Datacentres, o.Name, o)
+	case pool.Pool:
+		return put(s.Pools, o.Name, o)
+	case stage.Stage:
+		return put(s.Stages, o.Name, o)
+	case pipeline.Pipeline:
+		return put(s.Pipelines, o.Name, o)
+	case team.Team:
+		return put(s.Teams, o.Name, o)
+	}
+	return false
+}
+
+func put[T any](all map[string]T, name string, t T) bool {
+	_, twice := all[name]
+	all[name] = t
+	return !twice
+}
+
+// Validate lists the faults of every object and of the set as a whole.
+func (s Set) Validate() fault.List {
+	var list fault.List
+	list = appendFaults(list, s.Datacentres)
+	list = appendFaults(list, s.Pools)
+	list = appendFaults(list, s.Stages)
+	list = appendFaults(list, s.Pipelines)
+	list = appendFaults(list, s.Teams)
+	list = append(list, s.checkPools()...)
+	list = append(list, s.checkStages()...)
+	list = append(list, s.checkPipelines()...)
+	return list
+}
+
+type validator interface{ Validate() fault.List }
+
+func appendFaults[T validator](list fault.List, all map[string]T) fault.List {
+	for _, n := range sortedNames(all) {
+		list = append(list, all[n].Validate()...)
+	}
+	return list
+}
+
+func sortedNames[T any](all map[string]T) []string {
+	names := make([]string, 0, len(all))
+	for n := range all {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (s Set) checkPools() fault.List {
+	var list fault.List
+	owner := map[string]string{}
+	for _, n := range sortedNames(s.Pools) {
+		p := s.Pools[n]
+		c := fault.Checker{Kind: pool.Kind, Name: n}
+		in := false
+		for _, t := range p.Targets {
+			d, ok := s.Datacentres[t.Datacentre]
+			c.Check(ok, "target."+t.Name+".datacentre", "data centre %q does not exist", t.Datacentre)
+			in = in || (ok && d.State == datacentre.In && t.State == pool.In)
+			c.Check(owner[t.Name] == "", "target."+t.Name+".name", "is also in pool %q", owner[t.Name])
+			owner[t.Name] = n
+		}
+		c.Check(in, FieldReach, "no target is in a data centre that is in")
+		list = append(list, c.List()...)
+	}
+	return list
+}
+
+// FieldReach is the field of the fault that an operator may override with force and a reason.
+const FieldReach = "reach"
+
+// Forcible tells whether every fault may be overridden by an operator who gives a reason.
+func Forcible(list fault.List) bool {
+	for _, f := range list {
+		if f.Field != FieldReach {
+			return false
+		}
+	}
+	return true
+}
+
+func (s Set) checkStages() fault.List {
+	var list fault.List
+	for _, n := range sortedNames(s.Stages) {
+		c := fault.Checker{Kind: stage.Kind, Name: n}
+		_, ok := s.Pools[s.Stages[n].Pool]
+		c.Check(ok, "pool", "pool %q does not exist", s.Stages[n].Pool)
+		list = append(list, c.List()...)
+	}
+	return list
+}
+
+func (s Set) checkPipelines() fault.List {
+	var list fault.List
+	for _, n := range sortedNames(s.Pipelines) {
+		p := s.Pipelines[n]
+		c := fault.Checker{Kind: pipeline.Kind, Name: n}
+		var longest time.Duration
+		never := 0
+		for _, name := range p.Stages {
+			st, ok := s.Stages[name]
+			c.Check(ok, "stages", "stage %q does not exist", name)
+			longest = max(longest, st.Timeout.Duration())
+			if st.Repeat == stage.Never {
+				never++
+			}
+		}
+		c.Check(longest <= p.Deadline.Duration(), "stages", "a stage timeout of %s is longer than the deadline %s", longest, p.Deadline)
+		c.Check(never <= 1, "stages", "at most one stage may have repeat %q, not %d", stage.Never, never)
+		list = append(list, c.List()...)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/catalog/team/doc.go
@@ -0,0 +1,2 @@
+// Package team holds the team object: whose requests these are and what share they get.
+package team
--- /dev/null
+++ b/internal/catalog/team/team.go
@@ -0,0 +1,63 @@
+package team
+
+import "github.com/lacewingdrift/lacewingdrift/internal/catalog/fault"
+
+// Kind is the object kind of a team.
+const Kind = "team"
+
+// Priority orders requests that wait for the same target.
+type Priority string
+
+// The priorities, the first served before the next.
+const (
+	High   Priority = "high"
+	Normal Priority = "normal"
+	Low    Priority = "low"
+)
+
+// Rank is the order of a priority: lower goes first.
+func (p Priority) Rank() int {
+	switch p {
+	case High:
+		return 0
+	case Low:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// Valid tells whether p is one of the priorities.
+func (p Priority) Valid() bool { return p == High || p == Normal || p == Low }
+
+const maxWeight = 1000
+
+// Team is a group of callers that shares a weight.
+type Team struct {
+	Name   string `json:"name" toml:"name"`
+	Weight int    `json:"weight" toml:"weight"`
+	// Rate is how many requests a second one node takes from the team; 0 is no bound.
+	Rate     float64  `json:"rate,omitempty" toml:"rate,omitempty"`
+	Priority Priority `json:"priority" toml:"priority"`
+}
+
+// WithDefaults fills the fields left empty.
+func (t Team) WithDefaults() Team {
+	if t.Weight == 0 {
+		t.Weight = 1
+	}
+	if t.Priority == "" {
+		t.Priority = Normal
+	}
+	return t
+}
+
+// Validate lists every fault of the object by itself.
+func (t Team) Validate() fault.List {
+	c := fault.Checker{Kind: Kind, Name: t.Name}
+	c.CheckName()
+	c.Check(t.Weight >= 1 && t.Weight <= maxWeight, "weight", "must be 1 to %d, not %d", maxWeight, t.Weight)
+	c.Check(t.Rate >= 0, "rate", "must be 0 or more, not %g", t.Rate)
+	c.Check(t.Priority.Valid(), "priority", "must be high, normal or low, not %q", t.Priority)
+	return c.List()
+}
--- /dev/null
+++ b/internal/fleet/node/hearing.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/reach"
+)
+
+// hearing is when the node last heard the platform and each peer.
+type hearing struct {
+	mu       sync.Mutex
+	platform time.Time
+	peers    map[string]time.Time
+	places   map[string]time.Time
+}
+
+func (h *hearing) init(now time.Time) {
+	h.platform = now
+	h.peers = map[string]time.Time{}
+	h.places = map[string]time.Time{}
+}
+
+// fresh notes that the release in force was the platform's own at that time.
+func (h *hearing) fresh(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at.After(h.platform) {
+		h.platform = at
+	}
+}
+
+func (h *hearing) freshest() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.platform
+}
+
+func (h *hearing) peer(now time.Time, name, datacentre string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.peers[name] = now
+	h.places[datacentre] = now
+}
+
+func (h *hearing) last(name string) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.peers[name]
+}
+
+// open tells whether the node hears enough of the fleet to take new work.
+func (n *Node) open(now time.Time) bool {
+	t := n.table.Load()
+	own := n.cfg.Settings.Datacentre
+	n.hearing.mu.Lock()
+	defer n.hearing.mu.Unlock()
+	if now.Sub(n.hearing.platform) <= n.cfg.Settings.Timing.Bound.Duration() {
+		return true
+	}
+	view := reach.Hearing{Platform: n.hearing.platform, Datacentres: map[string]time.Time{}, Own: own, Alone: true}
+	for _, d := range t.Datacentres() {
+		view.Datacentres[d] = n.hearing.places[d]
+	}
+	for _, name := range t.LiveIn(own) {
+		if name != n.Name() {
+			view.Alone = false
+		}
+	}
+	return view.Open(now, n.cfg.Settings.Timing.Bound.Duration())
+}
--- /dev/null
+++ b/internal/fleet/owner/owner.go
@@ -0,0 +1,319 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/target"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/admission"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/outcome"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/backend"
+)
+
+const (
+	cancelTries = 5
+	cancelPause = 200 * time.Millisecond
+)
+
+// Task is an attempt that an entry asks for.
+type Task struct {
+	Target  string
+	Address string
+	Bounds  target.Bounds
+	Room    int
+	Job     admission.Job
+	// Deadline is when the attempt must be given up, at the target too.
+	Deadline time.Time
+	// Timeout bounds the attempt from its send on.
+	Timeout time.Duration
+	Attempt backend.Attempt
+}
+
+// End is one of Declined and Ran.
+type End interface{ sealedEnd() }
+
+// Declined says that the attempt was not sent and will not be.
+type Declined struct {
+	Refuse Refuse
+	// Moved tells that this node does not own the target.
+	Moved bool
+}
+
+// Ran says that the attempt was sent.
+type Ran struct {
+	Result backend.Result
+	Cost   time.Duration
+}
+
+func (Declined) sealedEnd() {}
+func (Ran) sealedEnd()      {}
+
+// Config is what an owner needs from its node.
+type Config struct {
+	Now     func() time.Time
+	Backend *backend.Client
+	// Leased tells whether the node's lease holds.
+	Leased func(now time.Time) bool
+	// Barred tells why a target takes no new work, if so.
+	Barred func(now time.Time, target string) (Refuse, bool)
+	// Leaves is told of a target that said it is leaving.
+	Leaves func(target string)
+}
+
+// Owner holds the targets that this node owns.
+type Owner struct {
+	cfg      Config
+	mu       sync.Mutex
+	stations atomic.Pointer[map[string]*station]
+	attempts *attempts
+	sends    atomic.Int64
+}
+
+// New makes an owner of nothing.
+func New(cfg Config) *Owner {
+	o := &Owner{cfg: cfg, attempts: newAttempts()}
+	o.stations.Store(&map[string]*station{})
+	return o
+}
+
+// Sends is how many attempts were sent to targets.
+func (o *Owner) Sends() int64 { return o.sends.Load() }
+
+func (o *Owner) station(name string) *station { return (*o.stations.Load())[name] }
+
+// change swaps in a changed copy of the stations.
+func (o *Owner) change(f func(map[string]*station)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	next := make(map[string]*station, len(*o.stations.Load())+1)
+	for k, v := range *o.stations.Load() {
+		next[k] = v
+	}
+	f(next)
+	o.stations.Store(&next)
+}
+
+// Take begins to own a target under a fencing number.
+func (o *Owner) Take(name string, epoch uint64, d *Desk) {
+	o.change(func(m map[string]*station) { m[name] = newStation(d, epoch) })
+}
+
+// Drop ends owning a target and gives its health and how many attempts may still run.
+func (o *Owner) Drop(name string) (target.Health, int) {
+	s := o.station(name)
+	if s == nil {
+		return target.Health{}, 0
+	}
+	o.change(func(m map[string]*station) { delete(m, name) })
+	return s.close(o.cfg.Now())
+}
+
+// Owns gives the fencing number under which a target is owned; false if it is not.
+func (o *Owner) Owns(name string) (uint64, bool) {
+	s := o.station(name)
+	if s == nil {
+		return 0, false
+	}
+	return s.epoch, true
+}
+
+// Owned names the owned targets.
+func (o *Owner) Owned() []string {
+	var list []string
+	for name := range *o.stations.Load() {
+		list = append(list, name)
+	}
+	return list
+}
+
+// Load sums up an owned target.
+func (o *Owner) Load(name string) (Load, bool) {
+	s := o.station(name)
+	if s == nil {
+		return Load{}, false
+	}
+	return s.load(o.cfg.Now()), true
+}
+
+// Resize takes changed bounds for an owned target.
+func (o *Owner) Resize(name string, b target.Bounds, room int) {
+	o.update(name, func(d *Desk) { d.Resize(b, room) })
+}
+
+// Cleared notes that nothing of an earlier owner runs at the target.
+func (o *Owner) Cleared(name string) {
+	o.update(name, func(d *Desk) { d.Cleared() })
+}
+
+// Chill makes an owned target count as cold.
+func (o *Owner) Chill(name string, b target.Bounds) {
+	o.update(name, func(d *Desk) { d.health = d.health.Chilled(b) })
+}
+
+// Left is how many attempts of an earlier owner still count at a target.
+func (o *Owner) Left(name string) int {
+	left := 0
+	o.update(name, func(d *Desk) { left = d.Left(o.cfg.Now()) })
+	return left
+}
+
+func (o *Owner) update(name string, f func(*Desk)) {
+	if s := o.station(name); s != nil {
+		now := o.cfg.Now()
+		s.update(now, o.cfg.Leased(now), f)
+	}
+}
+
+// Tick gives up late jobs and starts what has become free.
+func (o *Owner) Tick(now time.Time) {
+	leased := o.cfg.Leased(now)
+	for _, s := range *o.stations.Load() {
+		s.pump(now, leased)
+	}
+}
+
+// Cancel gives an attempt up and tells whether it had been sent.
+func (o *Owner) Cancel(id string) (sent bool) {
+	return o.attempts.cancel(o.cfg.Now(), id)
+}
+
+// Work admits an attempt, sends it and hands its stream events to part.
+func (o *Owner) Work(ctx context.Context, t Task, part func(n uint64, data []byte) error) End {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	if !o.attempts.enter(o.cfg.Now(), t.Job.ID, stop) {
+		return Declined{Refuse: Refuse{Reason: outcome.Cancelled, Text: "attempt was cancelled before it came"}}
+	}
+	s := o.station(t.Target)
+	if s == nil {
+		o.attempts.unsent(t.Job.ID)
+		return Declined{Refuse: moved(), Moved: true}
+	}
+	if r, ok := o.admit(ctx, s, t); !ok {
+		o.attempts.unsent(t.Job.ID)
+		return Declined{Refuse: r, Moved: r.Text == textMoved}
+	}
+	if r, ok := o.clear(s, t); !ok {
+		s.update(o.cfg.Now(), o.cfg.Leased(o.cfg.Now()), func(d *Desk) { d.Release(t.Job.ID) })
+		o.attempts.unsent(t.Job.ID)
+		return Declined{Refuse: r}
+	}
+	return o.run(ctx, s, t, part)
+}
+
+// admit waits for the job's turn.
+func (o *Owner) admit(ctx context.Context, s *station, t Task) (Refuse, bool) {
+	now := o.cfg.Now()
+	if r, barred := o.cfg.Barred(now, t.Target); barred {
+		return r, false
+	}
+	verdict, grant := s.submit(now, t.Job, o.cfg.Leased(now))
+	if grant != nil {
+		verdict = o.await(ctx, s, t, grant)
+	}
+	switch v := verdict.(type) {
+	case Start:
+		return Refuse{}, true
+	case Refuse:
+		return v, false
+	}
+	panic("owner: a verdict is neither start nor refuse")
+}
+
+func (o *Owner) await(ctx context.Context, s *station, t Task, grant <-chan Verdict) Verdict {
+	select {
+	case v := <-grant:
+		return v
+	case <-ctx.Done():
+		if s.withdraw(t.Job.ID) {
+			return Refuse{Reason: outcome.Cancelled, Text: "attempt was cancelled while it waited"}
+		}
+		return <-grant
+	}
+}
+
+// clear checks once more right before the send: the job may have waited, or the process been paused.
+func (o *Owner) clear(s *station, t Task) (Refuse, bool) {
+	now := o.cfg.Now()
+	if r, barred := o.cfg.Barred(now, t.Target); barred {
+		return r, false
+	}
+	s.mu.Lock()
+	may := !s.closed && s.desk.MaySend(o.cfg.Leased(now))
+	s.mu.Unlock()
+	if !may {
+		return moved(), false
+	}
+	if !now.Before(t.Deadline) {
+		return Refuse{Reason: outcome.Deadline, Text: "the deadline passed while the attempt waited"}, false
+	}
+	if !o.attempts.send(t.Job.ID) {
+		return Refuse{Reason: outcome.Cancelled, Text: "attempt was cancelled"}, false
+	}
+	return Refuse{}, true
+}
+
+func (o *Owner) run(ctx context.Context, s *station, t Task, part func(n uint64, data []byte) error) End {
+	started := o.cfg.Now()
+	if end := started.Add(t.Timeout); end.Before(t.Deadline) {
+		t.Deadline = end
+	}
+	ctx, stop := context.WithDeadline(ctx, t.Deadline)
+	defer stop()
+	a := t.Attempt
+	a.Fence = s.epoch
+	a.Remaining = t.Deadline.Sub(started)
+	a.Seen = func(boot string) {
+		now := o.cfg.Now()
+		s.update(now, o.cfg.Leased(now), func(d *Desk) { d.health = d.health.Booted(boot, d.bounds) })
+	}
+	o.sends.Add(1)
+	result := o.cfg.Backend.Run(ctx, t.Address, a, part)
+	now := o.cfg.Now()
+	cost := now.Sub(started)
+	leased := o.cfg.Leased(now)
+	switch r := result.(type) {
+	case backend.Whole:
+		s.update(now, leased, func(d *Desk) { d.Answered(now, t.Job.ID, r.First, cost, r.Boot) })
+	case backend.Refused:
+		o.refused(s, t, r)
+		return Declined{Refuse: Refuse{Reason: outcome.NoTarget, Text: "target refused: " + r.Reason, RetryAfter: minRetry}}
+	case backend.Unreached:
+		s.update(now, leased, func(d *Desk) { d.Unreached(now, t.Job.ID) })
+		o.attempts.unsent(t.Job.ID)
+		return Declined{Refuse: Refuse{Reason: outcome.NoTarget, Text: "target cannot be reached", RetryAfter: leaseRetry}}
+	case backend.Broken:
+		s.update(now, leased, func(d *Desk) {
+			d.Errored(now, r.Boot)
+			d.Abandon(t.Job.ID, t.Deadline)
+		})
+		go o.giveUp(s, t)
+	}
+	return Ran{Result: result, Cost: cost}
+}
+
+func (o *Owner) refused(s *station, t Task, r backend.Refused) {
+	now := o.cfg.Now()
+	s.update(now, o.cfg.Leased(now), func(d *Desk) {
+		d.Release(t.Job.ID)
+		d.Errored(now, r.Boot)
+	})
+	o.attempts.unsent(t.Job.ID)
+	if r.Leaving {
+		o.cfg.Leaves(t.Target)
+	}
+}
+
+// giveUp cancels an abandoned attempt at the target; until that is confirmed the attempt counts.
+func (o *Owner) giveUp(s *station, t Task) {
+	for range cancelTries {
+		if o.cfg.Backend.Cancel(context.Background(), t.Address, t.Job.ID) == nil {
+			now := o.cfg.Now()
+			s.update(now, o.cfg.Leased(now), func(d *Desk) { d.Release(t.Job.ID) })
+			return
+		}
+		time.Sleep(cancelPause)
+	}
+}
--- /dev/null
+++ b/internal/fleet/target/doc.go
@@ -0,0 +1,2 @@
+// Package target decides what one target may bear: how warm it is and how much work it may have at once.
+package target
--- /dev/null
+++ b/internal/fleet/target/health.go
@@ -0,0 +1,152 @@
+package target
+
+import "time"
+
+// Phase says whether a target has proven what it bears.
+type Phase string
+
+// The phases of a target.
+const (
+	Cold Phase = "cold"
+	Warm Phase = "warm"
+)
+
+const (
+	errorRun      = 3
+	slowRun       = 8
+	slowFactor    = 4
+	slowFloor     = 50 * time.Millisecond
+	crowdedFactor = 2
+	idleBound     = 10 * time.Minute
+)
+
+// Bounds are what the operators say of a pool's targets.
+type Bounds struct {
+	// Cold is how many requests at once a cold target bears.
+	Cold int
+	// Warm is how many answers in a row prove the next step.
+	Warm int
+	// Limit is how many requests at once a warm target bears.
+	Limit int
+}
+
+// Health is what is known of one target.
+type Health struct {
+	Phase Phase `json:"phase"`
+	// Level is how many requests the target may have at once.
+	Level int `json:"level"`
+	// Boot is what the target calls its own start.
+	Boot string `json:"boot"`
+
+	streak int
+	errors int
+	slow   int
+	// base is the usual latency, round the sum over the current round of answers.
+	base  time.Duration
+	round time.Duration
+	last  time.Time
+}
+
+// New is the health of a target nothing is known of.
+func New(b Bounds) Health {
+	return Health{Phase: Cold, Level: b.Cold}
+}
+
+// Chilled gives the health of a target that has turned cold.
+func (h Health) Chilled(b Bounds) Health {
+	return Health{Phase: Cold, Level: b.Cold, Boot: h.Boot, last: h.last}
+}
+
+// Clamped fits the health to bounds that operators may have changed.
+func (h Health) Clamped(b Bounds) Health {
+	h.Level = max(1, min(h.Level, b.Limit))
+	if h.Phase == Cold && h.streak == 0 && h.Level < b.Cold {
+		h.Level = b.Cold
+	}
+	return h
+}
+
+// Idled gives the health before a send at now: a target left alone for long counts as cold.
+func (h Health) Idled(now time.Time, b Bounds) Health {
+	if h.last.IsZero() || now.Sub(h.last) < idleBound {
+		return h
+	}
+	h = h.Chilled(b)
+	h.last = now
+	return h
+}
+
+// Booted gives the health after the target named its boot.
+func (h Health) Booted(boot string, b Bounds) Health {
+	if boot == "" || boot == h.Boot {
+		return h
+	}
+	if h.Boot != "" {
+		h = h.Chilled(b)
+	}
+	h.Boot = boot
+	return h
+}
+
+// Answered gives the health after a whole answer with its time to the first event.
+func (h Health) Answered(now time.Time, first time.Duration, boot string, b Bounds) Health {
+	h = h.Booted(boot, b)
+	h.last = now
+	h.errors = 0
+	if h.base > 0 && first > slowFactor*h.base+slowFloor {
+		h.slow++
+	} else {
+		h.slow = 0
+	}
+	if h.slow >= slowRun {
+		return h.Chilled(b)
+	}
+	h.streak++
+	h.round += first
+	if h.streak < max(b.Warm, h.Level) {
+		return h
+	}
+	return h.stepped(b)
+}
+
+// stepped ends a round of answers: the level moves by one step.
+func (h Health) stepped(b Bounds) Health {
+	mean := h.round / time.Duration(h.streak)
+	crowded := h.base > 0 && mean > crowdedFactor*h.base
+	h.streak, h.round = 0, 0
+	switch {
+	case h.Phase == Cold:
+		h.Level = min(b.Limit, 2*h.Level)
+	case crowded:
+		h.Level = max(b.Cold, h.Level*9/10)
+	default:
+		h.Level = min(b.Limit, h.Level+1)
+	}
+	if h.Level == b.Limit {
+		h.Phase = Warm
+	}
+	if h.base == 0 || mean < h.base {
+		h.base = mean
+	} else {
+		h.base += (mean - h.base) / 32
+	}
+	return h
+}
+
+// Errored gives the health after an attempt that brought no whole answer.
+func (h Health) Errored(now time.Time, b Bounds) Health {
+	h.last = now
+	h.streak, h.round = 0, 0
+	h.errors++
+	if h.errors < errorRun {
+		return h
+	}
+	return h.Chilled(b)
+}
+
+// Unreached gives the health after the target refused a connection: what comes back next is a cold start.
+func (h Health) Unreached(now time.Time, b Bounds) Health {
+	h = h.Chilled(b)
+	h.last = now
+	return h
+}
--- /dev/null
+++ b/internal/platform/object/client.go
@@ -0,0 +1,198 @@
+package object
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+const (
+	clientName    = "platform"
+	maxValueBytes = 1 << 20
+	maxListBytes  = 256 << 20
+	dialTimeout   = time.Second
+	headerTimeout = 5 * time.Second
+)
+
+// ClientConfig says where the platform is.
+type ClientConfig struct {
+	// URL is the base address, as http://IP:PORT.
+	URL string
+	// Timeout bounds one call but a watch.
+	Timeout time.Duration
+	// Silence is how long a watch may bring nothing before it is given up.
+	Silence time.Duration
+}
+
+// Client speaks to the platform over HTTP.
+type Client struct {
+	cfg  ClientConfig
+	http httpc.Service
+}
+
+// NewClient makes a client; it opens no connection yet.
+func NewClient(cfg ClientConfig) *Client {
+	// The breaker would hide an outage's end and answer in the platform's name.
+	breaker.NoBreakerFor(clientName)
+	t := &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		ResponseHeaderTimeout: headerTimeout,
+		MaxIdleConnsPerHost:   32,
+		IdleConnTimeout:       30 * time.Second,
+	}
+	return &Client{cfg: cfg, http: httpc.NewServiceWithClient(clientName, &http.Client{Transport: t})}
+}
+
+func (c *Client) path(kind, name string) string {
+	return c.cfg.URL + "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func (c *Client) call(ctx context.Context, method, target string, body []byte, bound int64) ([]byte, int, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, err
+	}
+	resp, err := c.http.DoRequest(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, bound+1))
+	if err != nil {
+		return nil, 0, err
+	}
+	if int64(len(data)) > bound {
+		return nil, 0, merry.Errorf("answer is over %d bytes", bound)
+	}
+	return data, resp.StatusCode, nil
+}
+
+// Get reads one object; ErrMissing if there is none.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	data, code, err := c.call(ctx, http.MethodGet, c.path(kind, name), nil, 2*maxValueBytes)
+	return decodeObject("get", kind, name, data, code, err)
+}
+
+// Put writes value if the object still has version.
+func (c *Client) Put(ctx context.Context, kind, name string, version uint64, value any) (Object, error) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return Object{}, merry.Prependf(err, "put %s/%s", kind, name)
+	}
+	if len(body) > maxValueBytes {
+		return Object{}, merry.Errorf("put %s/%s: value of %d bytes is over %d", kind, name, len(body), maxValueBytes)
+	}
+	target := fmt.Sprintf("%s?version=%d", c.path(kind, name), version)
+	data, code, err := c.call(ctx, http.MethodPut, target, body, 2*maxValueBytes)
+	return decodeObject("put", kind, name, data, code, err)
+}
+
+// Delete removes the object if it still has version.
+func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
+	target := fmt.Sprintf("%s?version=%d", c.path(kind, name), version)
+	data, code, err := c.call(ctx, http.MethodDelete, target, nil, 2*maxValueBytes)
+	_, err = decodeObject("delete", kind, name, data, code, err)
+	return err
+}
+
+func decodeObject(op, kind, name string, data []byte, code int, err error) (Object, error) {
+	if err != nil {
+		return Object{}, merry.Prependf(err, "%s %s/%s", op, kind, name)
+	}
+	if code == http.StatusNotFound {
+		return Object{}, merry.Prependf(ErrMissing, "%s %s/%s", op, kind, name)
+	}
+	if code != http.StatusOK && code != http.StatusConflict {
+		return Object{}, merry.Errorf("%s %s/%s: status %d: %.100s", op, kind, name, code, data)
+	}
+	var o Object
+	if err := json.Unmarshal(data, &o); err != nil {
+		return Object{}, merry.Prependf(err, "%s %s/%s", op, kind, name)
+	}
+	if code == http.StatusConflict {
+		return Object{}, &Conflict{Current: o}
+	}
+	return o, nil
+}
+
+// List reads the objects of a kind whose names start with prefix.
+func (c *Client) List(ctx context.Context, kind, prefix string) (List, error) {
+	target := c.cfg.URL + "/v1/objects/" + url.PathEscape(kind) + "?prefix=" + url.QueryEscape(prefix)
+	data, code, err := c.call(ctx, http.MethodGet, target, nil, maxListBytes)
+	if err == nil && code != http.StatusOK {
+		err = merry.Errorf("status %d: %.100s", code, data)
+	}
+	var l List
+	if err == nil {
+		err = json.Unmarshal(data, &l)
+	}
+	if err != nil {
+		return List{}, merry.Prependf(err, "list %s", kind)
+	}
+	return l, nil
+}
+
+// Watch calls handle for each event after version until the watch fails or goes silent.
+func (c *Client) Watch(ctx context.Context, kind string, version uint64, handle func(Event)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	target := fmt.Sprintf("%s/v1/watch/%s?from=%d", c.cfg.URL, url.PathEscape(kind), version)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return merry.Prependf(err, "watch %s", kind)
+	}
+	silent := time.AfterFunc(c.cfg.Silence, cancel)
+	defer silent.Stop()
+	resp, err := c.http.DoRequest(req)
+	if err != nil {
+		return merry.Prependf(err, "watch %s", kind)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusGone {
+		return merry.Prependf(ErrGone, "watch %s", kind)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return merry.Errorf("watch %s: status %d", kind, resp.StatusCode)
+	}
+	lines := bufio.NewReaderSize(resp.Body, 64<<10)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return merry.Prependf(err, "watch %s", kind)
+		}
+		silent.Reset(c.cfg.Silence)
+		var e Event
+		if err := json.Unmarshal(line, &e); err != nil {
+			return merry.Prependf(err, "watch %s", kind)
+		}
+		handle(e)
+	}
+}
+
+// VMs reads the platform's list of live and leaving VMs.
+func (c *Client) VMs(ctx context.Context, into any) error {
+	data, code, err := c.call(ctx, http.MethodGet, c.cfg.URL+"/v1/vms", nil, maxListBytes)
+	if err == nil && code != http.StatusOK {
+		err = merry.Errorf("status %d", code)
+	}
+	if err == nil {
+		err = json.Unmarshal(data, into)
+	}
+	if err != nil {
+		return merry.Prepend(err, "list vms")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/object/doc.go
@@ -0,0 +1,2 @@
+// Package object is the client of the platform's object API: versions, conditional updates, lists and watches.
+package object
--- /dev/null
+++ b/internal/platform/object/object.go
@@ -0,0 +1,68 @@
+package object
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Object is one object of the platform.
+type Object struct {
+	Kind    string          `json:"kind"`
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value,omitempty"`
+}
+
+// List is every object of a kind at one version of the store.
+type List struct {
+	Version uint64   `json:"version"`
+	Items   []Object `json:"items"`
+}
+
+// EventType says what a watch event is.
+type EventType string
+
+// The types of watch event.
+const (
+	Put      EventType = "put"
+	Delete   EventType = "delete"
+	Bookmark EventType = "bookmark"
+)
+
+// Event is one line of a watch.
+type Event struct {
+	Type   EventType `json:"type"`
+	Object Object    `json:"object"`
+}
+
+// The errors that callers tell apart; any other means that the answer is not known.
+var (
+	ErrMissing = merry.Sentinel("object is missing")
+	ErrGone    = merry.Sentinel("version is too old to watch from")
+)
+
+// Conflict says that a conditional update met another version.
+type Conflict struct {
+	Current Object
+}
+
+// Error names the object and the version it has.
+func (c *Conflict) Error() string {
+	return "conflict: " + c.Current.Kind + "/" + c.Current.Name + " has another version"
+}
+
+// Store is what the platform's object API offers.
+type Store interface {
+	// Get reads one object; ErrMissing if there is none.
+	Get(ctx context.Context, kind, name string) (Object, error)
+	// List reads the objects of a kind whose names start with prefix.
+	List(ctx context.Context, kind, prefix string) (List, error)
+	// Put writes value if the object still has version, 0 meaning that it must not exist; *Conflict otherwise.
+	Put(ctx context.Context, kind, name string, version uint64, value any) (Object, error)
+	// Delete removes the object if it still has version; *Conflict otherwise.
+	Delete(ctx context.Context, kind, name string, version uint64) error
+	// Watch calls handle for each event after version until it fails; ErrGone if version is too old.
+	Watch(ctx context.Context, kind string, version uint64, handle func(Event)) error
+}
--- /dev/null
+++ b/internal/serving/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission orders the requests that wait for one target: by priority, fair between teams, earliest deadline first.
+package admission
--- /dev/null
+++ b/internal/serving/entry/choice.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	hintAge    = 500 * time.Millisecond
+	avoidShort = 200 * time.Millisecond
+)
+
+// Candidate is a target that may be asked, and the node that seems to own it.
+type Candidate struct {
+	Target string
+	Owner  string
+}
+
+// Hint is what an owner last said of a target.
+type Hint struct {
+	Running int
+	Queued  int
+	Level   int
+	Wait    time.Duration
+	At      time.Time
+}
+
+// Choice picks targets by what their owners last said and by what this entry has under way.
+type Choice struct {
+	mu    sync.Mutex
+	hints map[string]*view
+}
+
+type view struct {
+	hint  Hint
+	mine  int
+	avoid time.Time
+}
+
+// NewChoice makes a choice without hints.
+func NewChoice() *Choice { return &Choice{hints: map[string]*view{}} }
+
+func (c *Choice) view(target string) *view {
+	v, ok := c.hints[target]
+	if !ok {
+		v = &view{}
+		c.hints[target] = v
+	}
+	return v
+}
+
+// Learn takes in what an owner said.
+func (c *Choice) Learn(target string, h Hint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view(target).hint = h
+}
+
+// Avoid keeps a target back for a short while.
+func (c *Choice) Avoid(now time.Time, target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view(target).avoid = now.Add(avoidShort)
+}
+
+// Begin and End count what this entry has under way at a target.
+func (c *Choice) Begin(target string) { c.count(target, 1) }
+
+// End is the other side of Begin.
+func (c *Choice) End(target string) { c.count(target, -1) }
+
+func (c *Choice) count(target string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view(target).mine += n
+}
+
+// Pick takes the better of two targets drawn by pick, among those not tried and preferably not avoided.
+func (c *Choice) Pick(now time.Time, list []Candidate, tried map[string]bool, pick func(n int) int) (Candidate, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var good, rest []Candidate
+	for _, x := range list {
+		if tried[x.Target] {
+			continue
+		}
+		if now.Before(c.view(x.Target).avoid) {
+			rest = append(rest, x)
+			continue
+		}
+		good = append(good, x)
+	}
+	if len(good) == 0 {
+		good = rest
+	}
+	if len(good) == 0 {
+		return Candidate{}, false
+	}
+	a := good[pick(len(good))]
+	b := good[pick(len(good))]
+	if c.score(now, b.Target) < c.score(now, a.Target) {
+		return b, true
+	}
+	return a, true
+}
+
+// score is how full a target is, as a part of what it bears.
+func (c *Choice) score(now time.Time, target string) float64 {
+	v := c.view(target)
+	busy := float64(v.mine)
+	if now.Sub(v.hint.At) < hintAge {
+		busy = max(busy, float64(v.hint.Running+v.hint.Queued))
+	}
+	return (busy + 1) / float64(max(1, v.hint.Level))
+}
+
+// Wait is the shortest wait that owners have lately told of the list, 0 if any of them is not known.
+func (c *Choice) Wait(now time.Time, list []Candidate) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	least := time.Duration(-1)
+	for _, x := range list {
+		v := c.view(x.Target)
+		if now.Sub(v.hint.At) >= hintAge {
+			return 0
+		}
+		if least < 0 || v.hint.Wait < least {
+			least = v.hint.Wait
+		}
+	}
+	return max(0, least)
+}
--- /dev/null
+++ b/internal/serving/entry/entry.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/pipeline"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/release"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/stage"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/team"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/budget"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/ledger"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/outcome"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/request"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/peer/peerpb"
+)
+
+// Fleet is what an entry needs from the nodes around it.
+type Fleet interface {
+	// Release is the release in force, nil if there is none yet.
+	Release() *release.Release
+	// Closed tells why the node takes no new work, if so.
+	Closed(now time.Time) (outcome.NotRun, bool)
+	// Candidates lists the targets of a pool that may take new work.
+	Candidates(pool string) []Candidate
+	// Work runs one attempt at a node and hands each event to on.
+	Work(ctx context.Context, node string, w *peerpb.WorkRequest, on func(*peerpb.WorkEvent) error) error
+	// Cancel gives an attempt up at a node and tells whether it had been sent.
+	Cancel(ctx context.Context, node string, w *peerpb.WorkRequest) (sent bool, err error)
+	// Claim, Settle and Find reach the holder of a key's ledger shard.
+	Claim(ctx context.Context, row ledger.Row, remaining time.Duration) ledger.Answer
+	Settle(ctx context.Context, key, request string, state ledger.State, body []byte, wait time.Duration) ledger.Answer
+	Find(ctx context.Context, key string, wait time.Duration) ledger.Answer
+}
+
+// Config is what an entry is made of.
+type Config struct {
+	Node       string
+	Generation uint64
+	Now        func() time.Time
+	Fleet      Fleet
+	// Pick draws a number from 0 to n-1.
+	Pick func(n int) int
+	// Ended is told of each finished request.
+	Ended func(r request.Request, o outcome.Outcome, took time.Duration)
+	// Spent is told of each attempt that reached a target.
+	Spent func(stage string, cost time.Duration, whole bool)
+}
+
+// Entry runs requests.
+type Entry struct {
+	cfg     Config
+	choice  *Choice
+	logs    *request.Registry
+	count   atomic.Uint64
+	running sync.WaitGroup
+	active  atomic.Int64
+	mu      sync.Mutex
+	rates   map[string]budget.Rate
+	retries map[string]*budget.Retries
+}
+
+// New makes an entry.
+func New(cfg Config) *Entry {
+	return &Entry{
+		cfg:     cfg,
+		choice:  NewChoice(),
+		logs:    request.NewRegistry(),
+		rates:   map[string]budget.Rate{},
+		retries: map[string]*budget.Retries{},
+	}
+}
+
+// Active is how many requests run.
+func (e *Entry) Active() int64 { return e.active.Load() }
+
+// Wait returns once no request runs.
+func (e *Entry) Wait() { e.running.Wait() }
+
+// Log gives the log of a request that was entered here.
+func (e *Entry) Log(id string) (*request.Log, bool) { return e.logs.Get(id) }
+
+// Begin checks a request and sets it going; its id and log are returned at once.
+func (e *Entry) Begin(r request.Request) (string, *request.Log) {
+	now := e.cfg.Now()
+	r.ID = request.NewID(e.cfg.Node, e.cfg.Generation, e.count.Add(1))
+	log := e.logs.Open(now, r.ID)
+	plan, refusal := e.plan(now, r)
+	if refusal != nil {
+		e.end(r, log, now, refusal)
+		return r.ID, log
+	}
+	e.running.Add(1)
+	e.active.Add(1)
+	go func() {
+		defer e.running.Done()
+		defer e.active.Add(-1)
+		ctx, cancel := context.WithDeadline(context.Background(), plan.request.Deadline)
+		defer cancel()
+		e.end(r, log, now, e.run(ctx, plan, log))
+	}()
+	return r.ID, log
+}
+
+func (e *Entry) end(r request.Request, log *request.Log, began time.Time, o outcome.Outcome) {
+	now := e.cfg.Now()
+	log.Finish(now, outcome.Pack(o))
+	e.cfg.Ended(r, o, now.Sub(began))
+}
+
+// plan is a request with the objects that it runs by.
+type plan struct {
+	request  request.Request
+	pipeline pipeline.Pipeline
+	stages   []stage.Stage
+	weight   int
+	priority team.Priority
+	whole    time.Duration
+	// never is the index of the stage that may not be repeated, -1 if there is none.
+	never int
+}
+
+func (p plan) ledgered() bool { return p.never >= 0 && p.request.Key != "" }
+
+// plan resolves a request, or says why it is not run.
+func (e *Entry) plan(now time.Time, r request.Request) (plan, outcome.Outcome) {
+	if closed, ok := e.cfg.Fleet.Closed(now); ok {
+		return plan{}, closed
+	}
+	set := e.cfg.Fleet.Release().Set
+	pl, ok := set.Pipelines[r.Pipeline]
+	if !ok {
+		return plan{}, invalid("pipeline", r.Pipeline)
+	}
+	t, ok := set.Teams[r.Team]
+	if !ok {
+		return plan{}, invalid("team", r.Team)
+	}
+	p := plan{request: r, pipeline: pl, weight: t.Weight, priority: t.Priority, never: -1}
+	if r.Priority.Rank() > t.Priority.Rank() && r.Priority != "" {
+		p.priority = r.Priority
+	}
+	if r.Deadline.IsZero() || r.Deadline.After(now.Add(pl.Deadline.Duration())) {
+		p.request.Deadline = now.Add(pl.Deadline.Duration())
+	}
+	p.whole = p.request.Deadline.Sub(now)
+	for i, name := range pl.Stages {
+		s := set.Stages[name]
+		p.stages = append(p.stages, s)
+		if s.Repeat == stage.Never {
+			p.never = i
+		}
+	}
+	if retry := e.rate(now, t); retry > 0 {
+		return plan{}, outcome.NotRun{Reason: outcome.Rate, Text: "team " + t.Name + " is over its rate", RetryAfter: retry}
+	}
+	return p, e.hopeless(now, p)
+}
+
+func invalid(what, name string) outcome.NotRun {
+	return outcome.NotRun{Reason: outcome.Invalid, Text: what + " " + name + " does not exist"}
+}
+
+func (e *Entry) rate(now time.Time, t team.Team) time.Duration {
+	if t.Rate == 0 {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next, wait := e.rates[t.Name].Take(now, t.Rate)
+	e.rates[t.Name] = next
+	return wait
+}
+
+// hopeless refuses a request whose stages together would wait past its deadline.
+func (e *Entry) hopeless(now time.Time, p plan) outcome.Outcome {
+	var wait time.Duration
+	for _, s := range p.stages {
+		wait += e.choice.Wait(now, e.cfg.Fleet.Candidates(s.Pool))
+	}
+	if wait < p.whole {
+		return nil
+	}
+	return outcome.NotRun{Reason: outcome.Overload, Text: "the wait for its stages is longer than the deadline", RetryAfter: max(minRetry, wait-p.whole)}
+}
+
+const minRetry = 100 * time.Millisecond
+
+func (e *Entry) budget(pool string) *budget.Retries {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b, ok := e.retries[pool]
+	if !ok {
+		b = budget.NewRetries()
+		e.retries[pool] = b
+	}
+	return b
+}
+
+// Find looks a request up by team and key.
+func (e *Entry) Find(ctx context.Context, team, key string, wait time.Duration) outcome.Outcome {
+	return found(e.cfg.Fleet.Find(ctx, request.Scope(team, key), wait))
+}
+
+// found reads a ledger answer as an outcome.
+func found(a ledger.Answer) outcome.Outcome {
+	switch a.Verdict {
+	case ledger.Done:
+		var r outcome.Record
+		if err := json.Unmarshal(a.Body, &r); err != nil {
+			return outcome.Unknown{Reason: outcome.Lost, Text: "the ledger's record cannot be read"}
+		}
+		return outcome.Unpack(r)
+	case ledger.Missing:
+		return outcome.NotRun{Reason: outcome.Invalid, Text: "the key is not known"}
+	case ledger.Reused:
+		return outcome.NotRun{Reason: outcome.KeyReused, Text: "the key was used with another body"}
+	case ledger.Running:
+		return outcome.Unknown{Reason: outcome.Lost, Text: "the request with this key still runs"}
+	case ledger.Unknown:
+		return outcome.Unknown{Reason: outcome.Lost, Text: "the request with this key ended without an answer being recorded"}
+	default:
+		return outcome.NotRun{Reason: outcome.PlatformOut, Text: "the ledger cannot be reached", RetryAfter: ledgerRetry}
+	}
+}
+
+const ledgerRetry = time.Second
--- /dev/null
+++ b/internal/serving/entry/stage.go
@@ -0,0 +1,285 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/stage"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/outcome"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/request"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/peer/peerpb"
+)
+
+const (
+	maxLooks      = 4
+	maxRetries    = 2
+	lookPause     = 50 * time.Millisecond
+	cancelTimeout = 500 * time.Millisecond
+)
+
+// The types of a work event.
+const (
+	EventAlive    = "alive"
+	EventPart     = "part"
+	EventDone     = "done"
+	EventDeclined = "declined"
+	EventBroken   = "broken"
+)
+
+// stageEnd is one of done, declined, broken and lost.
+type stageEnd interface{ stageEnd() }
+
+type done struct {
+	output json.RawMessage
+	events uint64
+}
+
+// declined says that the last look was refused; reached tells whether an earlier try of the stage got to a target.
+type declined struct {
+	reason  outcome.Reason
+	text    string
+	retry   time.Duration
+	holder  string
+	reached bool
+}
+
+// broken says that a repeatable attempt reached a target and brought no whole answer.
+type broken struct {
+	reason outcome.Reason
+	text   string
+}
+
+// lost says that an attempt that may not be repeated was sent and its answer is not known.
+type lost struct{}
+
+func (done) stageEnd()     {}
+func (declined) stageEnd() {}
+func (broken) stageEnd()   {}
+func (lost) stageEnd()     {}
+
+// stageRun is one stage of one request.
+type stageRun struct {
+	entry    *Entry
+	plan     plan
+	index    int
+	body     []byte
+	log      *request.Log
+	attempts uint32
+	reached  bool
+}
+
+func (r *stageRun) stage() stage.Stage { return r.plan.stages[r.index] }
+
+// do looks for a target until one answers, the time is up, or trying on is no use.
+func (r *stageRun) do(ctx context.Context) stageEnd {
+	e := r.entry
+	pool := r.stage().Pool
+	retries := e.budget(pool)
+	retries.Requested()
+	tried := map[string]bool{}
+	looks, repeats := 0, 0
+	holder := ""
+	last := declined{reason: outcome.NoTarget, text: "pool " + pool + " has no target that takes work", retry: minRetry}
+	for {
+		c, ok := r.pick(tried, holder)
+		if !ok || looks >= maxLooks {
+			if end, over := r.pause(ctx, last); over {
+				return end
+			}
+			tried, looks, holder = map[string]bool{}, 0, ""
+			continue
+		}
+		holder = ""
+		end := r.attempt(ctx, c)
+		switch end := end.(type) {
+		case declined:
+			looks++
+			last = r.worse(last, end)
+			if end.holder != "" && end.holder != c.Owner {
+				holder = end.holder
+				tried = without(tried, c.Target)
+				continue
+			}
+			tried[c.Target] = true
+			e.choice.Avoid(e.cfg.Now(), c.Target)
+		case broken:
+			r.reached = true
+			tried[c.Target] = true
+			e.choice.Avoid(e.cfg.Now(), c.Target)
+			repeats++
+			if repeats > maxRetries || ctx.Err() != nil || !retries.Take() {
+				return end
+			}
+		default:
+			return end
+		}
+	}
+}
+
+func without(tried map[string]bool, target string) map[string]bool {
+	delete(tried, target)
+	return tried
+}
+
+// worse keeps the refusal that tells the caller more: an overload is kept over a missing owner.
+func (r *stageRun) worse(a, b declined) declined {
+	if a.reason == outcome.Overload && b.reason == outcome.NoTarget {
+		return a
+	}
+	return b
+}
+
+func (r *stageRun) pick(tried map[string]bool, holder string) (Candidate, bool) {
+	e := r.entry
+	c, ok := e.choice.Pick(e.cfg.Now(), e.cfg.Fleet.Candidates(r.stage().Pool), tried, e.cfg.Pick)
+	if ok && holder != "" {
+		c.Owner = holder
+	}
+	return c, ok
+}
+
+// pause waits a moment where targets change hands; a refusal for any other reason is final.
+func (r *stageRun) pause(ctx context.Context, last declined) (stageEnd, bool) {
+	last.reached = r.reached
+	now := r.entry.cfg.Now()
+	reserve := r.plan.pipeline.Reserve(r.index, r.plan.whole)
+	patience := r.plan.request.Deadline.Add(-reserve - r.plan.whole/4)
+	if last.reason != outcome.NoTarget || !now.Add(lookPause).Before(patience) {
+		return last, true
+	}
+	select {
+	case <-ctx.Done():
+		return last, true
+	case <-time.After(lookPause):
+		return nil, false
+	}
+}
+
+// attempt asks one owner to run the stage once.
+func (r *stageRun) attempt(ctx context.Context, c Candidate) stageEnd {
+	e := r.entry
+	r.attempts++
+	now := e.cfg.Now()
+	w := &peerpb.WorkRequest{
+		Release:     e.cfg.Fleet.Release().Head.Number,
+		Request:     r.plan.request.ID,
+		Stage:       r.stage().Name,
+		Attempt:     r.attempts,
+		Target:      c.Target,
+		Team:        r.plan.request.Team,
+		Priority:    string(r.plan.priority),
+		RemainingUs: r.plan.request.Deadline.Sub(now).Microseconds(),
+		ReserveUs:   r.plan.pipeline.Reserve(r.index, r.plan.whole).Microseconds(),
+		After:       r.after(),
+		Body:        r.body,
+		Entry:       e.cfg.Node,
+	}
+	e.choice.Begin(c.Target)
+	defer e.choice.End(c.Target)
+	var end stageEnd
+	err := e.cfg.Fleet.Work(ctx, c.Owner, w, func(ev *peerpb.WorkEvent) error {
+		e.learn(c.Target, ev)
+		end = r.take(ev, end)
+		return nil
+	})
+	if end != nil {
+		return end
+	}
+	return r.unclear(c.Owner, w, err)
+}
+
+// after is how many events of a streamed last stage are there already.
+func (r *stageRun) after() uint64 {
+	if !r.streams() {
+		return 0
+	}
+	return r.log.Last()
+}
+
+func (r *stageRun) streams() bool {
+	return r.stage().Stream && r.index == len(r.plan.stages)-1
+}
+
+func (e *Entry) learn(target string, ev *peerpb.WorkEvent) {
+	l := ev.GetLoad()
+	if l == nil {
+		return
+	}
+	e.choice.Learn(target, Hint{
+		Running: int(l.Running),
+		Queued:  int(l.Queued),
+		Level:   int(l.Level),
+		Wait:    time.Duration(l.WaitUs) * time.Microsecond,
+		At:      e.cfg.Now(),
+	})
+}
+
+// take reads one work event; the last one ends the stage.
+func (r *stageRun) take(ev *peerpb.WorkEvent, end stageEnd) stageEnd {
+	cost := time.Duration(ev.CostUs) * time.Microsecond
+	retry := time.Duration(ev.RetryUs) * time.Microsecond
+	switch ev.Type {
+	case EventPart:
+		if r.streams() {
+			r.log.Add(ev.N, ev.Data)
+		}
+	case EventDone:
+		r.entry.cfg.Spent(r.stage().Name, cost, true)
+		return done{output: ev.Data, events: ev.N}
+	case EventDeclined:
+		return declined{reason: outcome.Reason(ev.Reason), text: string(ev.Data), retry: retry, holder: ev.Holder}
+	case EventBroken:
+		r.entry.cfg.Spent(r.stage().Name, cost, false)
+		if r.stage().Repeat == stage.Never {
+			return lost{}
+		}
+		return broken{reason: outcome.Reason(ev.Reason), text: string(ev.Data)}
+	}
+	return end
+}
+
+// unclear settles an attempt whose owner went silent: only the owner's own word makes it not sent.
+func (r *stageRun) unclear(owner string, w *peerpb.WorkRequest, err error) stageEnd {
+	var never *NotSent
+	if errors.As(err, &never) {
+		return declined{reason: outcome.NoTarget, text: never.Error(), retry: minRetry}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	if r.stage().Repeat == stage.May && r.timeUp() == outcome.Deadline {
+		// The caller gets its answer now; the owner is told in its own time.
+		go r.cancelLater(owner, w)
+		return broken{reason: outcome.Deadline, text: "the deadline passed"}
+	}
+	sent, cancelErr := r.entry.cfg.Fleet.Cancel(ctx, owner, w)
+	switch {
+	case cancelErr == nil && !sent:
+		return declined{reason: r.timeUp(), text: "the attempt was given up before it was sent", retry: minRetry}
+	case r.stage().Repeat == stage.Never:
+		return lost{}
+	default:
+		return broken{reason: r.timeUp(), text: "the target's owner did not answer"}
+	}
+}
+
+func (r *stageRun) cancelLater(owner string, w *peerpb.WorkRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_, _ = r.entry.cfg.Fleet.Cancel(ctx, owner, w)
+}
+
+// timeUp is the reason for an attempt that ended without a word.
+func (r *stageRun) timeUp() outcome.Reason {
+	if !r.entry.cfg.Now().Before(r.plan.request.Deadline) {
+		return outcome.Deadline
+	}
+	return outcome.NoTarget
+}
+
+// NotSent is the error of a call that surely did not get to the other node.
+type NotSent struct{ Cause error }
+
+// Error names the cause.
+func (n *NotSent) Error() string { return "node cannot be reached: " + n.Cause.Error() }
--- /dev/null
+++ b/internal/standin/store/http.go
@@ -0,0 +1,115 @@
+package store
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/vm"
+)
+
+const maxBodyBytes = 1 << 20
+
+// Handler serves the store's protocol, its faults and its counts.
+func (s *Store) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /v1/objects/{kind}/{name}", s.get)
+	m.HandleFunc("PUT /v1/objects/{kind}/{name}", s.update)
+	m.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.remove)
+	m.HandleFunc("GET /v1/objects/{kind}", s.list)
+	m.HandleFunc("GET /v1/watch/{kind}", s.watch)
+	m.HandleFunc("GET /v1/vms", s.listVMs)
+	m.HandleFunc("PUT /standin/vms/{name}", s.setVM)
+	m.HandleFunc("PUT /standin/faults", s.putFaults)
+	m.HandleFunc("GET /standin/counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Counts(), nil) })
+	return m
+}
+
+func reply(w http.ResponseWriter, value any, err error) {
+	var conflict *object.Conflict
+	code := http.StatusOK
+	switch {
+	case err == nil:
+	case errors.As(err, &conflict):
+		code, value = http.StatusConflict, conflict.Current
+	case errors.Is(err, object.ErrMissing):
+		code, value = http.StatusNotFound, nil
+	case errors.Is(err, object.ErrGone):
+		code, value = http.StatusGone, nil
+	default:
+		code, value = http.StatusServiceUnavailable, nil
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func version(r *http.Request, key string) uint64 {
+	n, _ := strconv.ParseUint(r.URL.Query().Get(key), 10, 64)
+	return n
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	o, err := s.Get(r.Context(), r.PathValue("kind"), r.PathValue("name"))
+	reply(w, o, err)
+}
+
+func (s *Store) update(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	o, err := s.Put(r.Context(), r.PathValue("kind"), r.PathValue("name"), version(r, "version"), json.RawMessage(body))
+	if errors.Is(err, errLost) {
+		// The caller sees its connection end without an answer.
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, o, err)
+}
+
+func (s *Store) remove(w http.ResponseWriter, r *http.Request) {
+	err := s.Delete(r.Context(), r.PathValue("kind"), r.PathValue("name"), version(r, "version"))
+	reply(w, object.Object{}, err)
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	l, err := s.List(r.Context(), r.PathValue("kind"), r.URL.Query().Get("prefix"))
+	reply(w, l, err)
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	enc := json.NewEncoder(w)
+	started := false
+	err := s.Watch(r.Context(), r.PathValue("kind"), version(r, "from"), func(e object.Event) {
+		started = true
+		_ = enc.Encode(e)
+		_ = http.NewResponseController(w).Flush()
+	})
+	if !started {
+		reply(w, nil, err)
+	}
+}
+
+func (s *Store) listVMs(w http.ResponseWriter, r *http.Request) {
+	l, err := s.VMs(r.Context())
+	reply(w, l, err)
+}
+
+func (s *Store) setVM(w http.ResponseWriter, r *http.Request) {
+	s.SetVM(r.PathValue("name"), vm.State(r.URL.Query().Get("state")))
+	reply(w, nil, nil)
+}
+
+func (s *Store) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	reply(w, nil, nil)
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,235 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/vm"
+)
+
+const (
+	historyLength = 4096
+	bookmarkEvery = 500 * time.Millisecond
+)
+
+// Counts says how often each call was made.
+type Counts struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Lists   int64 `json:"lists"`
+	Watches int64 `json:"watches"`
+	VMs     int64 `json:"vms"`
+}
+
+// Store holds every object in memory.
+type Store struct {
+	mu      sync.Mutex
+	version uint64
+	objects map[string]map[string]object.Object
+	history []object.Event
+	oldest  uint64
+	waiters map[chan struct{}]bool
+	vms     vm.List
+	counts  Counts
+	faults  Faults
+	cut     uint64
+}
+
+// New makes an empty store.
+func New() *Store {
+	return &Store{objects: map[string]map[string]object.Object{}, waiters: map[chan struct{}]bool{}}
+}
+
+// Counts gives the calls made so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Get reads one object.
+func (s *Store) Get(ctx context.Context, kind, name string) (object.Object, error) {
+	if err := s.enter(ctx, func(c *Counts) { c.Reads++ }); err != nil {
+		return object.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	if !ok {
+		return object.Object{}, object.ErrMissing
+	}
+	return o, nil
+}
+
+// List reads the objects of a kind whose names start with prefix.
+func (s *Store) List(ctx context.Context, kind, prefix string) (object.List, error) {
+	if err := s.enter(ctx, func(c *Counts) { c.Lists++ }); err != nil {
+		return object.List{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := object.List{Version: s.version, Items: []object.Object{}}
+	for name, o := range s.objects[kind] {
+		if strings.HasPrefix(name, prefix) {
+			l.Items = append(l.Items, o)
+		}
+	}
+	sort.Slice(l.Items, func(i, j int) bool { return l.Items[i].Name < l.Items[j].Name })
+	return l, nil
+}
+
+// Put writes value if the object still has version.
+func (s *Store) Put(ctx context.Context, kind, name string, version uint64, value any) (object.Object, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return object.Object{}, err
+	}
+	if err := s.enter(ctx, func(c *Counts) { c.Writes++ }); err != nil {
+		return object.Object{}, err
+	}
+	o, err := s.put(kind, name, version, data)
+	if err == nil && s.loseAnswer(kind) {
+		return object.Object{}, errLost
+	}
+	return o, err
+}
+
+func (s *Store) put(kind, name string, version uint64, data []byte) (object.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, ok := s.objects[kind][name]
+	if ok && current.Version != version {
+		return object.Object{}, &object.Conflict{Current: current}
+	}
+	if !ok && version != 0 {
+		return object.Object{}, object.ErrMissing
+	}
+	s.version++
+	o := object.Object{Kind: kind, Name: name, Version: s.version, Value: data}
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]object.Object{}
+	}
+	s.objects[kind][name] = o
+	s.record(object.Event{Type: object.Put, Object: o})
+	return o, nil
+}
+
+// Delete removes the object if it still has version.
+func (s *Store) Delete(ctx context.Context, kind, name string, version uint64) error {
+	if err := s.enter(ctx, func(c *Counts) { c.Writes++ }); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, ok := s.objects[kind][name]
+	if !ok {
+		return object.ErrMissing
+	}
+	if current.Version != version {
+		return &object.Conflict{Current: current}
+	}
+	delete(s.objects[kind], name)
+	s.version++
+	current.Version = s.version
+	current.Value = nil
+	s.record(object.Event{Type: object.Delete, Object: current})
+	return nil
+}
+
+func (s *Store) record(e object.Event) {
+	s.history = append(s.history, e)
+	if len(s.history) > historyLength {
+		s.history = append([]object.Event(nil), s.history[historyLength/2:]...)
+		s.oldest = s.history[0].Object.Version
+	}
+	for w := range s.waiters {
+		select {
+		case w <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Watch calls handle for each event after version until a fault ends it.
+func (s *Store) Watch(ctx context.Context, kind string, version uint64, handle func(object.Event)) error {
+	if err := s.enter(ctx, func(c *Counts) { c.Watches++ }); err != nil {
+		return err
+	}
+	w := make(chan struct{}, 1)
+	s.mu.Lock()
+	s.waiters[w] = true
+	cut := s.cut
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.waiters, w)
+		s.mu.Unlock()
+	}()
+	tick := time.NewTicker(bookmarkEvery)
+	defer tick.Stop()
+	for {
+		events, now, err := s.after(kind, version, cut)
+		if err != nil {
+			return err
+		}
+		for _, e := range events {
+			handle(e)
+		}
+		version = now
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-w:
+		case <-tick.C:
+			handle(object.Event{Type: object.Bookmark, Object: object.Object{Kind: kind, Version: version}})
+		}
+	}
+}
+
+func (s *Store) after(kind string, version, cut uint64) ([]object.Event, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down || s.cut != cut {
+		return nil, 0, errDown
+	}
+	if version < s.oldest || s.faults.Gap {
+		s.faults.Gap = false
+		return nil, 0, object.ErrGone
+	}
+	var list []object.Event
+	i := sort.Search(len(s.history), func(i int) bool { return s.history[i].Object.Version > version })
+	for _, e := range s.history[i:] {
+		if e.Object.Kind == kind {
+			list = append(list, e)
+		}
+	}
+	return list, s.version, nil
+}
+
+// VMs gives the list of VMs.
+func (s *Store) VMs(ctx context.Context) (vm.List, error) {
+	if err := s.enter(ctx, func(c *Counts) { c.VMs++ }); err != nil {
+		return vm.List{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.vms, nil
+}
+
+// SetVM changes what the list of VMs says of one.
+func (s *Store) SetVM(name string, state vm.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []vm.VM
+	for _, v := range s.vms.VMs {
+		if v.Name != name {
+			list = append(list, v)
+		}
+	}
+	s.vms = vm.List{Change: s.vms.Change + 1, VMs: append(list, vm.VM{Name: name, State: state})}
+}
--- /dev/null
+++ b/internal/wire/backend/doc.go
@@ -0,0 +1,2 @@
+// Package backend sends attempts to targets over HTTP and checks that what comes back belongs to them.
+package backend
--- /dev/null
+++ b/internal/wire/operator/server.go
@@ -0,0 +1,239 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/fault"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/release"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/node"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/access"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/audit"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/edit"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/publication"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/transport"
+)
+
+const maxBody = 1 << 20
+
+// Config is what the operators' interface is made of.
+type Config struct {
+	Node      *node.Node
+	Guard     access.Guard
+	Editor    edit.Editor
+	Publisher publication.Publisher
+}
+
+type server struct{ cfg Config }
+
+// NewHandler gives the operators' interface.
+func NewHandler(cfg Config) (http.Handler, error) {
+	s := server{cfg}
+	return transport.NewHandler("operator", []rest.Route{
+		{Method: http.MethodGet, Path: "/v1/objects/:kind", Handler: s.allow(settings.View, s.list)},
+		{Method: http.MethodGet, Path: "/v1/objects/:kind/:name", Handler: s.allow(settings.View, s.get)},
+		{Method: http.MethodPut, Path: "/v1/objects/:kind/:name", Handler: s.allow(settings.Operate, s.put)},
+		{Method: http.MethodDelete, Path: "/v1/objects/:kind/:name", Handler: s.allow(settings.Operate, s.remove)},
+		{Method: http.MethodPost, Path: "/v1/publish", Handler: s.allow(settings.Operate, s.publish)},
+		{Method: http.MethodPost, Path: "/v1/rollback", Handler: s.allow(settings.Operate, s.rollback)},
+		{Method: http.MethodGet, Path: "/v1/status", Handler: s.allow(settings.View, s.status)},
+		{Method: http.MethodGet, Path: "/v1/audit", Handler: s.allow(settings.View, s.audit)},
+	})
+}
+
+// Problem is the body of a refusal.
+type Problem struct {
+	Error  string     `json:"error"`
+	Faults fault.List `json:"faults,omitempty"`
+	// Current is the object as it is, after a lost race.
+	Current *edit.Object `json:"current,omitempty"`
+}
+
+// Write is the body of an edit.
+type Write struct {
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value"`
+	Reason  string          `json:"reason,omitempty"`
+}
+
+// Order is the body of a publish or a rollback.
+type Order struct {
+	Reason string `json:"reason,omitempty"`
+	Force  bool   `json:"force,omitempty"`
+	Plan   bool   `json:"plan,omitempty"`
+	Number uint64 `json:"number,omitempty"`
+}
+
+// Status is the state of the whole fleet.
+type Status struct {
+	Nodes []node.Status `json:"nodes"`
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, p access.Person)
+
+func (s server) allow(need settings.Role, h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p, known := s.cfg.Guard.Person(r)
+		if !known {
+			reply(w, http.StatusUnauthorized, Problem{Error: "a bearer token is needed"})
+			return
+		}
+		if !p.May(need) {
+			reply(w, http.StatusForbidden, Problem{Error: "the role " + string(need) + " is needed"})
+			return
+		}
+		h(w, r, p)
+	}
+}
+
+func reply(w http.ResponseWriter, code int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// answer writes a value, or the problem with the status that fits it.
+func answer(w http.ResponseWriter, value any, err error) {
+	var race *edit.Race
+	var headRace *publication.Race
+	var refusal *edit.Refusal
+	switch {
+	case err == nil:
+		reply(w, http.StatusOK, value)
+	case errors.As(err, &race):
+		reply(w, http.StatusConflict, Problem{Error: err.Error(), Current: &race.Current})
+	case errors.As(err, &headRace):
+		reply(w, http.StatusConflict, Problem{Error: err.Error()})
+	case errors.As(err, &refusal):
+		reply(w, http.StatusUnprocessableEntity, Problem{Error: "the objects have faults", Faults: refusal.Faults})
+	case errors.Is(err, object.ErrMissing):
+		reply(w, http.StatusNotFound, Problem{Error: err.Error()})
+	default:
+		reply(w, http.StatusServiceUnavailable, Problem{Error: err.Error()})
+	}
+}
+
+func known(w http.ResponseWriter, kind string) bool {
+	for _, k := range release.Kinds {
+		if k == kind {
+			return true
+		}
+	}
+	reply(w, http.StatusNotFound, Problem{Error: "kind " + kind + " is not known"})
+	return false
+}
+
+func (s server) list(w http.ResponseWriter, r *http.Request, _ access.Person) {
+	kind := pathvar.Vars(r)["kind"]
+	if !known(w, kind) {
+		return
+	}
+	list, err := s.cfg.Editor.List(r.Context(), kind)
+	answer(w, list, err)
+}
+
+func (s server) get(w http.ResponseWriter, r *http.Request, _ access.Person) {
+	vars := pathvar.Vars(r)
+	if !known(w, vars["kind"]) {
+		return
+	}
+	o, err := s.cfg.Editor.Get(r.Context(), vars["kind"], vars["name"])
+	answer(w, o, err)
+}
+
+// decode reads a body; false means that the refusal is written already.
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil && !errors.Is(err, io.EOF) {
+		reply(w, http.StatusBadRequest, Problem{Error: "body: " + err.Error()})
+		return false
+	}
+	return true
+}
+
+func (s server) put(w http.ResponseWriter, r *http.Request, p access.Person) {
+	vars := pathvar.Vars(r)
+	var body Write
+	if !known(w, vars["kind"]) || !decode(w, r, &body) {
+		return
+	}
+	o, err := s.cfg.Editor.Put(r.Context(), edit.Edit{
+		Kind:    vars["kind"],
+		Name:    vars["name"],
+		Version: body.Version,
+		Value:   body.Value,
+		Who:     p.Who,
+		Reason:  body.Reason,
+	})
+	answer(w, o, err)
+}
+
+func (s server) remove(w http.ResponseWriter, r *http.Request, p access.Person) {
+	vars := pathvar.Vars(r)
+	if !known(w, vars["kind"]) {
+		return
+	}
+	query := r.URL.Query()
+	version, err := strconv.ParseUint(query.Get("version"), 10, 64)
+	if err != nil {
+		reply(w, http.StatusBadRequest, Problem{Error: "version: must be the version that is to be removed"})
+		return
+	}
+	err = s.cfg.Editor.Delete(r.Context(), edit.Edit{Kind: vars["kind"], Name: vars["name"], Version: version, Who: p.Who, Reason: query.Get("reason")})
+	answer(w, struct{}{}, err)
+}
+
+func (s server) publish(w http.ResponseWriter, r *http.Request, p access.Person) {
+	var body Order
+	if !decode(w, r, &body) {
+		return
+	}
+	result, err := s.cfg.Publisher.Publish(r.Context(), publication.Order{Who: p.Who, Reason: body.Reason, Force: body.Force, Plan: body.Plan})
+	s.published(w, result, err)
+}
+
+func (s server) rollback(w http.ResponseWriter, r *http.Request, p access.Person) {
+	var body Order
+	if !decode(w, r, &body) {
+		return
+	}
+	result, err := s.cfg.Publisher.Rollback(r.Context(), publication.Order{Who: p.Who, Reason: body.Reason}, body.Number)
+	s.published(w, result, err)
+}
+
+// published puts a fresh release in force here at once, so that it spreads even if the platform goes down now.
+func (s server) published(w http.ResponseWriter, result publication.Result, err error) {
+	if err == nil && result.Release != nil {
+		s.cfg.Node.Adopt(result.Release)
+	}
+	answer(w, result, err)
+}
+
+func (s server) status(w http.ResponseWriter, r *http.Request, _ access.Person) {
+	reply(w, http.StatusOK, Status{Nodes: s.cfg.Node.Statuses(r.Context())})
+}
+
+func (s server) audit(w http.ResponseWriter, r *http.Request, _ access.Person) {
+	query := r.URL.Query()
+	f := audit.Filter{Object: query.Get("object"), Who: query.Get("who")}
+	if text := query.Get("since"); text != "" {
+		since, err := time.Parse(time.RFC3339, text)
+		if err != nil {
+			reply(w, http.StatusBadRequest, Problem{Error: "since: must be a time like 2026-01-02T15:04:05Z"})
+			return
+		}
+		f.Since = since
+	}
+	list, err := s.cfg.Editor.Trail.List(r.Context(), f)
+	answer(w, list, err)
+}
--- /dev/null
+++ b/internal/wire/peer/client.go
@@ -0,0 +1,164 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/stats"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/peer/peerpb"
+)
+
+const (
+	// MaxMessage bounds one message between nodes, in bytes.
+	MaxMessage = 64 << 20
+	// AliveEvery is how often an owner says that it still works on an attempt.
+	AliveEvery = 400 * time.Millisecond
+	// Silence is how long an owner may say nothing.
+	Silence = 1500 * time.Millisecond
+
+	minReconnect = 50 * time.Millisecond
+	maxReconnect = time.Second
+)
+
+// Conns keeps one connection to each peer address.
+type Conns struct {
+	tls   *tls.Config
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+	sent  *sentHandler
+}
+
+// NewConns makes an empty set; config is nil for plain TCP.
+func NewConns(config *tls.Config) *Conns {
+	return &Conns{tls: config, conns: map[string]*grpc.ClientConn{}, sent: &sentHandler{}}
+}
+
+// Get gives the client for an address; it connects with the first call.
+func (c *Conns) Get(address string) (peerpb.PeerClient, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn, ok := c.conns[address]
+	if !ok {
+		fresh, err := c.dial(address)
+		if err != nil {
+			return nil, err
+		}
+		c.conns[address] = fresh
+		conn = fresh
+	}
+	return peerpb.NewPeerClient(conn), nil
+}
+
+func (c *Conns) dial(address string) (*grpc.ClientConn, error) {
+	creds := insecure.NewCredentials()
+	if c.tls != nil {
+		creds = credentials.NewTLS(c.tls)
+	}
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(creds),
+		grpc.WithStatsHandler(c.sent),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage), grpc.MaxCallSendMsgSize(MaxMessage)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: minReconnect, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnect},
+			MinConnectTimeout: time.Second,
+		}),
+	)
+}
+
+// Suspect leaves the connection to an address, after a call on it stayed without a word.
+func (c *Conns) Suspect(address string) {
+	c.mu.Lock()
+	conn, ok := c.conns[address]
+	delete(c.conns, address)
+	c.mu.Unlock()
+	if ok {
+		// Calls that still run on it may be alive; they get a moment to end.
+		time.AfterFunc(10*time.Second, func() { _ = conn.Close() })
+	}
+}
+
+// Close closes every connection.
+func (c *Conns) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, a)
+	}
+}
+
+// Work runs an attempt at a node; sent tells whether the call got onto a connection.
+func (c *Conns) Work(ctx context.Context, address string, w *peerpb.WorkRequest, on func(*peerpb.WorkEvent) error) (sent bool, err error) {
+	client, err := c.Get(address)
+	if err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	flag := &atomic.Bool{}
+	ctx = context.WithValue(ctx, sentKey{}, flag)
+	silent := &atomic.Bool{}
+	watch := time.AfterFunc(Silence, func() {
+		silent.Store(true)
+		cancel()
+	})
+	defer watch.Stop()
+	err = stream(ctx, client, w, func(e *peerpb.WorkEvent) error {
+		watch.Reset(Silence)
+		return on(e)
+	})
+	if silent.Load() {
+		c.Suspect(address)
+	}
+	return flag.Load(), err
+}
+
+func stream(ctx context.Context, client peerpb.PeerClient, w *peerpb.WorkRequest, on func(*peerpb.WorkEvent) error) error {
+	events, err := client.Work(ctx, w)
+	if err != nil {
+		return err
+	}
+	for {
+		e, err := events.Recv()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := on(e); err != nil {
+			return err
+		}
+	}
+}
+
+type sentKey struct{}
+
+// sentHandler notes on a call's context whether its header was written to a connection.
+type sentHandler struct{}
+
+func (*sentHandler) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+func (*sentHandler) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	if _, ok := s.(*stats.OutHeader); !ok {
+		return
+	}
+	if flag, ok := ctx.Value(sentKey{}).(*atomic.Bool); ok {
+		flag.Store(true)
+	}
+}
+
+func (*sentHandler) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+func (*sentHandler) HandleConn(context.Context, stats.ConnStats) {}
--- /dev/null
+++ b/internal/wire/peer/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb is the generated code of the protocol between nodes.
+package peerpb
