Add the bed, the load tool, demo and measure

Cause: nothing told how many requests are answered whole and in time, nor at what cost by stage, nor how that compares with a router without any of this. Ruled out: a closed loop of callers (it slows down with the system and hides the queue); a simulator (the users bring their own bench). Change: an embedded deployment from the example files, an open-loop load, six experiments, a naive baseline, a plot, and the truth as the targets counted it.

--- a/cmd/lacewingdrift/main.go
+++ b/cmd/lacewingdrift/main.go
@@ -36,6 +36,8 @@
 		statusCommand(),
 		drainCommand(),
 		restoreCommand(),
+		demoCommand(),
+		measureCommand(),
 		versionCommand(),
 	)
 	return c
--- /dev/null
+++ b/cmd/lacewingdrift/measure.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/spf13/cobra"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/bench/experiment"
+	"github.com/lacewingdrift/lacewingdrift/internal/bench/load"
+	"github.com/lacewingdrift/lacewingdrift/internal/bench/picture"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/journal"
+)
+
+const measureUsage = `Measure offers requests at random times, whatever becomes of earlier ones, and
+prints the share that was answered whole and in time, the cost by stage, the
+latencies and the refusals.
+
+Without --nodes-at it runs a whole deployment in this process and one experiment
+on it: steady, burst, coldstart, datacentre, targetloss or outage. --policy naive
+runs the same load through a router that goes round robin, retries a fixed number
+of times and limits nothing. With --nodes-at it offers a steady load to a system
+that runs elsewhere.`
+
+type measureFlags struct {
+	cfg     experiment.Config
+	name    string
+	policy  string
+	nodesAt string
+	rate    float64
+	output  string
+	plot    string
+	seeds   int
+}
+
+func measureCommand() *cobra.Command {
+	var f measureFlags
+	c := &cobra.Command{
+		Use:   "measure",
+		Short: "Run an experiment and print what was attained at what cost",
+		Long:  measureUsage,
+		Example: `  lacewingdrift measure --experiment datacentre --for 30s --plot datacentre.svg
+  lacewingdrift measure --experiment steady --policy naive --seeds 5
+  lacewingdrift measure --nodes-at 127.0.0.1:8000,127.0.0.1:8001 --rate 50`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			journal.Adopt(journal.New(journal.Config{Level: "error", Format: "text", Out: io.Discard}))
+			f.cfg.Name, f.cfg.Policy = experiment.Name(f.name), experiment.Policy(f.policy)
+			return f.run(c.OutOrStdout())
+		},
+	}
+	s := c.Flags()
+	s.StringVar(&f.cfg.Deployment, "deployment", "zoo", "zoo or driveway")
+	s.StringVar(&f.name, "experiment", "steady", "steady, burst, coldstart, datacentre, targetloss or outage")
+	s.StringVar(&f.policy, "policy", "ours", "ours or naive")
+	s.IntVar(&f.cfg.Nodes, "nodes", 6, "how many nodes to run")
+	s.DurationVar(&f.cfg.For, "for", 20*time.Second, "how long to offer requests")
+	s.Uint64Var(&f.cfg.Seed, "seed", 1, "the seed of the random choices")
+	s.IntVar(&f.seeds, "seeds", 1, "how many runs, each with the next seed")
+	s.Float64Var(&f.cfg.Load, "load", 0, "the offered part of capacity, 0 for the experiment's own")
+	s.StringVar(&f.nodesAt, "nodes-at", "", "callers' addresses of a system that runs elsewhere")
+	s.Float64Var(&f.rate, "rate", 20, "requests a second, with --nodes-at")
+	s.StringVar(&f.output, "output", "text", "text or json")
+	s.StringVar(&f.plot, "plot", "", "draw the timeline into an .svg or .png file")
+	return c
+}
+
+func (f *measureFlags) run(w io.Writer) error {
+	if f.policy != string(experiment.Ours) && f.policy != string(experiment.Naive) {
+		return merry.Errorf("policy: must be ours or naive, not %q", f.policy)
+	}
+	if f.cfg.Nodes < 1 || f.cfg.For <= 0 {
+		return merry.New("nodes and for: must be above 0")
+	}
+	for range f.seeds {
+		r, err := f.once()
+		if err != nil {
+			return err
+		}
+		if err := f.show(w, r); err != nil {
+			return err
+		}
+		f.cfg.Seed++
+	}
+	return nil
+}
+
+func (f *measureFlags) once() (experiment.Result, error) {
+	if f.nodesAt == "" {
+		return experiment.Run(f.cfg)
+	}
+	nodes := strings.Split(f.nodesAt, ",")
+	return experiment.Elsewhere(f.cfg, func() []string { return nodes }, f.rate), nil
+}
+
+func (f *measureFlags) show(w io.Writer, r experiment.Result) error {
+	if f.plot != "" {
+		if err := picture.Draw(f.plot, fmt.Sprintf("%s, %s, %s", r.Deployment, r.Experiment, r.Policy), r.Timeline); err != nil {
+			return err
+		}
+	}
+	if f.output == "json" {
+		return json.NewEncoder(w).Encode(r)
+	}
+	printResult(w, r)
+	return nil
+}
+
+func printResult(w io.Writer, r experiment.Result) {
+	fmt.Fprintf(w, "deployment=%s experiment=%s policy=%s seed=%d capacity=%.0f/s\n", r.Deployment, r.Experiment, r.Policy, r.Seed, r.Capacity)
+	fmt.Fprintf(w, "attainment=%.4f attained=%d offered=%d late=%d wrong=%d lost=%d doubled=%d false=%d over=%d\n",
+		r.Share, r.Attained, r.Offered, r.Late, r.Wrong, r.Lost, r.Doubled, r.False, r.Over)
+	if r.Goodput > 0 {
+		fmt.Fprintf(w, "goodput=%.3f of capacity while overloaded\n", r.Goodput)
+	}
+	fmt.Fprintf(w, "latency p50=%.1fms p95=%.1fms p99=%.1fms, refusals p95=%.1fms\n", r.P50, r.P95, r.P99, r.RefusedP95)
+	fmt.Fprintf(w, "outcomes %v\n", r.Outcomes)
+	printCost(w, r)
+	printTimeline(w, r.Timeline)
+	fmt.Fprintln(w)
+}
+
+// printTimeline draws one character for each step: the share attained in tenths.
+func printTimeline(w io.Writer, points []load.Point) {
+	const marks = "0123456789#"
+	line := make([]byte, 0, len(points))
+	for _, p := range points {
+		if p.Offered == 0 {
+			line = append(line, '.')
+			continue
+		}
+		line = append(line, marks[p.Attained*(len(marks)-1)/p.Offered])
+	}
+	fmt.Fprintf(w, "timeline [%s] tenths attained, # is all\n", line)
+}
--- /dev/null
+++ b/internal/bench/bed/link.go
@@ -0,0 +1,121 @@
+package bed
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/vm"
+	"github.com/lacewingdrift/lacewingdrift/internal/standin/store"
+)
+
+var errCut = merry.Sentinel("link to the platform is cut")
+
+// Link is one node's way to the platform, which can be cut.
+type Link struct {
+	store *store.Store
+	cut   atomic.Bool
+	stop  atomic.Pointer[chan struct{}]
+	calls atomic.Int64
+}
+
+func newLink(s *store.Store) *Link {
+	l := &Link{store: s}
+	open := make(chan struct{})
+	l.stop.Store(&open)
+	return l
+}
+
+// Cut ends the node's calls and watches, or lets them through again.
+func (l *Link) Cut(cut bool) {
+	if l.cut.Swap(cut) == cut {
+		return
+	}
+	if cut {
+		fresh := make(chan struct{})
+		close(*l.stop.Swap(&fresh))
+	}
+}
+
+// Calls is how many calls the node made.
+func (l *Link) Calls() int64 { return l.calls.Load() }
+
+// enter gives a context that ends when the link is cut.
+func (l *Link) enter(ctx context.Context) (context.Context, context.CancelFunc, error) {
+	l.calls.Add(1)
+	stop := *l.stop.Load()
+	if l.cut.Load() {
+		return nil, nil, errCut
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-stop:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel, nil
+}
+
+// Get reads one object.
+func (l *Link) Get(ctx context.Context, kind, name string) (object.Object, error) {
+	ctx, cancel, err := l.enter(ctx)
+	if err != nil {
+		return object.Object{}, err
+	}
+	defer cancel()
+	return l.store.Get(ctx, kind, name)
+}
+
+// List reads the objects of a kind.
+func (l *Link) List(ctx context.Context, kind, prefix string) (object.List, error) {
+	ctx, cancel, err := l.enter(ctx)
+	if err != nil {
+		return object.List{}, err
+	}
+	defer cancel()
+	return l.store.List(ctx, kind, prefix)
+}
+
+// Put writes an object by conditional update.
+func (l *Link) Put(ctx context.Context, kind, name string, version uint64, value any) (object.Object, error) {
+	ctx, cancel, err := l.enter(ctx)
+	if err != nil {
+		return object.Object{}, err
+	}
+	defer cancel()
+	return l.store.Put(ctx, kind, name, version, value)
+}
+
+// Delete removes an object by conditional update.
+func (l *Link) Delete(ctx context.Context, kind, name string, version uint64) error {
+	ctx, cancel, err := l.enter(ctx)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	return l.store.Delete(ctx, kind, name, version)
+}
+
+// Watch follows a kind of object.
+func (l *Link) Watch(ctx context.Context, kind string, version uint64, handle func(object.Event)) error {
+	ctx, cancel, err := l.enter(ctx)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	return l.store.Watch(ctx, kind, version, handle)
+}
+
+// VMs reads the list of VMs.
+func (l *Link) VMs(ctx context.Context) (vm.List, error) {
+	ctx, cancel, err := l.enter(ctx)
+	if err != nil {
+		return vm.List{}, err
+	}
+	defer cancel()
+	return l.store.VMs(ctx)
+}
--- /dev/null
+++ b/internal/bench/load/http.go
@@ -0,0 +1,115 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/span"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/outcome"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/caller"
+)
+
+const maxLine = 1 << 20
+
+// HTTP calls the product as its callers do, by turns at the nodes that a balancer would use.
+type HTTP struct {
+	// Nodes lists the callers' addresses of the ready nodes.
+	Nodes func() []string
+	// Streams names the pipelines whose answers are streamed, with how many events they have.
+	Streams map[string]int
+	Client  *http.Client
+	turn    atomic.Uint64
+}
+
+// NewClient makes an HTTP client for many calls at once.
+func NewClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, MaxIdleConns: 4096, IdleConnTimeout: time.Minute}}
+}
+
+// Call makes one call.
+func (h *HTTP) Call(ctx context.Context, c Call) Answer {
+	body, err := json.Marshal(caller.Call{
+		Team:     c.Team,
+		Key:      c.Key,
+		Deadline: span.Span(c.Deadline),
+		Stream:   h.Streams[c.Pipeline] > 0,
+		Input:    json.RawMessage(`{"order":"` + c.Order + `"}`),
+	})
+	if err != nil {
+		return Answer{Outcome: outcome.NameUnknown}
+	}
+	nodes := h.Nodes()
+	if len(nodes) == 0 {
+		return Answer{Outcome: outcome.NameNotRun, Reason: "nonode"}
+	}
+	address := nodes[h.turn.Add(1)%uint64(len(nodes))]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/pipelines/"+c.Pipeline, bytes.NewReader(body))
+	if err != nil {
+		return Answer{Outcome: outcome.NameUnknown}
+	}
+	began := time.Now()
+	resp, err := h.Client.Do(req)
+	if err != nil {
+		return Answer{Outcome: outcome.NameUnknown, Reason: "noanswer"}
+	}
+	defer resp.Body.Close()
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return h.stream(resp.Body, c, began)
+	}
+	var r caller.Reply
+	if err := json.NewDecoder(resp.Body).Decode(&r); err != nil {
+		return Answer{Outcome: outcome.NameUnknown, Reason: "noanswer"}
+	}
+	return Answer{Outcome: r.Outcome, Reason: r.Reason, Order: order(r.Body), Whole: true}
+}
+
+// stream reads a streamed answer and checks that each event came once, in its order, and was for this request.
+func (h *HTTP) stream(body io.Reader, c Call, began time.Time) Answer {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxLine)
+	a := Answer{Outcome: outcome.NameUnknown, Reason: "cut"}
+	event, parts, foreign := "", 0, false
+	for lines.Scan() {
+		line := lines.Text()
+		if name, ok := strings.CutPrefix(line, "event: "); ok {
+			event = name
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		switch event {
+		case "part":
+			parts++
+			if parts == 1 {
+				a.First = time.Since(began)
+			}
+			foreign = foreign || !part(data, c.Order, parts)
+		case "outcome":
+			var r caller.Reply
+			if json.Unmarshal([]byte(data), &r) != nil {
+				return a
+			}
+			a.Outcome, a.Reason, a.Order = r.Outcome, r.Reason, order(r.Body)
+			a.Whole = parts == h.Streams[c.Pipeline] && !foreign
+			return a
+		}
+	}
+	return a
+}
+
+func part(data, order string, n int) bool {
+	var p struct {
+		Order string `json:"order"`
+		Token int    `json:"token"`
+	}
+	return json.Unmarshal([]byte(data), &p) == nil && p.Order == order && p.Token == n
+}
--- /dev/null
+++ b/internal/bench/picture/picture.go
@@ -0,0 +1,45 @@
+package picture
+
+import (
+	"github.com/ansel1/merry/v2"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/bench/load"
+)
+
+const (
+	width  = 18 * vg.Centimeter
+	height = 8 * vg.Centimeter
+)
+
+// Draw writes offered and attained requests of each step into a file; its ending says the format.
+func Draw(path, title string, points []load.Point) error {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "requests in a step"
+	p.Y.Min = 0
+	offered, err := line(points, func(x load.Point) int { return x.Offered })
+	if err != nil {
+		return merry.Prepend(err, "draw")
+	}
+	attained, err := line(points, func(x load.Point) int { return x.Attained })
+	if err != nil {
+		return merry.Prepend(err, "draw")
+	}
+	offered.Dashes = []vg.Length{vg.Points(3), vg.Points(3)}
+	p.Add(plotter.NewGrid(), offered, attained)
+	p.Legend.Add("offered", offered)
+	p.Legend.Add("attained", attained)
+	return merry.Prepend(p.Save(width, height, path), "draw")
+}
+
+func line(points []load.Point, y func(load.Point) int) (*plotter.Line, error) {
+	xy := make(plotter.XYs, 0, len(points))
+	for _, p := range points {
+		xy = append(xy, plotter.XY{X: p.Second, Y: float64(y(p))})
+	}
+	return plotter.NewLine(xy)
+}
--- a/internal/fleet/node/status.go
+++ b/internal/fleet/node/status.go
@@ -116,3 +116,6 @@
 	}
 	return t
 }
+
+// OwnedTargets names the targets that this node owns.
+func (n *Node) OwnedTargets() []string { return n.owner.Owned() }
--- a/internal/operator/process/process.go
+++ b/internal/operator/process/process.go
@@ -40,6 +40,9 @@
 	Seed     uint64
 	// Platform replaces the client that the settings name; it may be nil.
 	Platform node.Platform
+	// Peer and Advertise replace the listener and the address for peers; they may be empty.
+	Peer      net.Listener
+	Advertise string
 }
 
 // Process is a node with its servers.
@@ -112,7 +115,7 @@
 func (p *Process) build() error {
 	s := p.cfg.Settings
 	s.Caller.Address = p.caller.Addr().String()
-	cfg := node.Config{Settings: s, Platform: p.cfg.Platform, Log: p.cfg.Log, Now: time.Now, Seed: p.cfg.Seed}
+	cfg := node.Config{Settings: s, Platform: p.cfg.Platform, Log: p.cfg.Log, Now: time.Now, Seed: p.cfg.Seed, Listener: p.cfg.Peer, Advertise: p.cfg.Advertise}
 	var err error
 	if s.Peer.TLS.Set() {
 		if cfg.ServerTLS, err = transport.ServerTLS(s.Peer.TLS, time.Now, p.cfg.Log); err != nil {
