Send waiting jobs elsewhere once a target has turned cold

Cause: jobs queued for a warm target stayed in its queue after it fell over; at the cold level they waited until their deadline although other targets were free. Ruled out: the retry budget (attempts per answer 1.03, none refused for it). Change: when a target turns cold its queue is cut to one level's worth; the rest is declined as not sent, and the entry looks elsewhere.

--- a/internal/fleet/node/ownership.go
+++ b/internal/fleet/node/ownership.go
@@ -166,8 +166,7 @@
 // chill forgets what was known of every owned target: the process stood still and has no lease.
 func (n *Node) chill() {
 	n.log.Info("the process stood still; its targets count as cold")
-	c := n.catalog.Load()
 	for _, name := range n.owner.Owned() {
-		n.owner.Chill(name, c.targets[name].bounds())
+		n.owner.Chill(name)
 	}
 }
--- a/internal/fleet/owner/desk.go
+++ b/internal/fleet/owner/desk.go
@@ -42,6 +42,8 @@
 	// running holds each attempt that may run at the target, with the time by which it surely does not.
 	running map[string]time.Time
 	service time.Duration
+	// chilled is set from the moment the target turns cold until its queue has been cut to size.
+	chilled bool
 	// left attempts of an earlier owner may run until leftBy.
 	left   int
 	leftBy time.Time
@@ -95,7 +97,7 @@
 
 // Submit decides on a job that has just come.
 func (d *Desk) Submit(now time.Time, j admission.Job, leased bool) Verdict {
-	d.health = d.health.Idled(now, d.bounds)
+	d.learn(d.health.Idled(now, d.bounds))
 	if d.health.Phase == target.Cold && !leased {
 		return Refuse{Reason: outcome.NoTarget, Text: "target is cold and its owner has no lease", RetryAfter: leaseRetry}
 	}
@@ -136,8 +138,10 @@
 	return d.service * time.Duration(n) / time.Duration(max(1, d.health.Level))
 }
 
-// Next starts what may be started now and gives up what can no longer be done in time.
-func (d *Desk) Next(now time.Time, leased bool) (start, late []admission.Job) {
+// Next starts what may be started now and gives up what can no longer be done in time. After the
+// target has turned cold, shed are the jobs that came for a warm one and do better elsewhere.
+func (d *Desk) Next(now time.Time, leased bool) (start, late, shed []admission.Job) {
+	shed = d.shed()
 	for _, j := range d.queue.Late(now, d.service) {
 		d.queue.Remove(j.ID)
 		late = append(late, j)
@@ -150,9 +154,35 @@
 		d.running[j.ID] = time.Time{}
 		start = append(start, j)
 	}
-	return start, late
+	return start, late, shed
 }
 
+// shed takes out all waiting jobs but one level's worth, once for each time that the target turns cold.
+func (d *Desk) shed() []admission.Job {
+	if !d.chilled {
+		return nil
+	}
+	d.chilled = false
+	all := d.Close()
+	keep := min(d.health.Level, len(all))
+	for _, j := range all[:keep] {
+		d.queue.Push(j)
+	}
+	return all[keep:]
+}
+
+// learn takes in what was found out about the target.
+func (d *Desk) learn(h target.Health) {
+	d.chilled = d.chilled || (d.health.Phase == target.Warm && h.Phase == target.Cold)
+	d.health = h
+}
+
+// Booted takes in what the target calls its start.
+func (d *Desk) Booted(boot string) { d.learn(d.health.Booted(boot, d.bounds)) }
+
+// Chill makes the target count as cold.
+func (d *Desk) Chill() { d.learn(d.health.Chilled(d.bounds)) }
+
 // Withdraw takes a waiting job out; false if it does not wait.
 func (d *Desk) Withdraw(id string) bool {
 	_, ok := d.queue.Remove(id)
@@ -184,7 +214,7 @@
 // Answered takes in a whole answer and its latencies.
 func (d *Desk) Answered(now time.Time, id string, first, whole time.Duration, boot string) {
 	d.Release(id)
-	d.health = d.health.Answered(now, first, boot, d.bounds)
+	d.learn(d.health.Answered(now, first, boot, d.bounds))
 	if d.service == 0 {
 		d.service = whole
 	} else {
@@ -194,13 +224,13 @@
 
 // Errored takes in an attempt that broke.
 func (d *Desk) Errored(now time.Time, boot string) {
-	d.health = d.health.Booted(boot, d.bounds).Errored(now, d.bounds)
+	d.learn(d.health.Booted(boot, d.bounds).Errored(now, d.bounds))
 }
 
 // Unreached takes in a refused connection.
 func (d *Desk) Unreached(now time.Time, id string) {
 	d.Release(id)
-	d.health = d.health.Unreached(now, d.bounds)
+	d.learn(d.health.Unreached(now, d.bounds))
 }
 
 // Load is what the owner tells others of a target.
--- a/internal/fleet/owner/owner.go
+++ b/internal/fleet/owner/owner.go
@@ -148,8 +148,8 @@
 }
 
 // Chill makes an owned target count as cold.
-func (o *Owner) Chill(name string, b target.Bounds) {
-	o.update(name, func(d *Desk) { d.health = d.health.Chilled(b) })
+func (o *Owner) Chill(name string) {
+	o.update(name, func(d *Desk) { d.Chill() })
 }
 
 // Left is how many attempts of an earlier owner still count at a target.
@@ -267,7 +267,7 @@
 	a.Remaining = t.Deadline.Sub(started)
 	a.Seen = func(boot string) {
 		now := o.cfg.Now()
-		s.update(now, o.cfg.Leased(now), func(d *Desk) { d.health = d.health.Booted(boot, d.bounds) })
+		s.update(now, o.cfg.Leased(now), func(d *Desk) { d.Booted(boot) })
 	}
 	o.sends.Add(1)
 	result := o.cfg.Backend.Run(ctx, t.Address, a, part)
--- a/internal/fleet/owner/station.go
+++ b/internal/fleet/owner/station.go
@@ -66,10 +66,13 @@
 	if s.closed {
 		return
 	}
-	start, late := s.desk.Next(now, leased)
+	start, late, shed := s.desk.Next(now, leased)
 	for _, j := range start {
 		s.grant(j.ID, Start{})
 	}
+	for _, j := range shed {
+		s.grant(j.ID, Refuse{Reason: outcome.NoTarget, Text: "the target has turned cold", RetryAfter: minRetry})
+	}
 	for _, j := range late {
 		s.grant(j.ID, Refuse{Reason: outcome.Overload, Text: "the wait for the target was too long", RetryAfter: max(s.desk.drain(s.desk.queue.Len()), minRetry)})
 	}
