Keep a cold target's queue short and probe an idle target before trusting it

Cause: a request that had drawn a cold target waited in its queue until the deadline. Change: a cold target's queue holds one level's worth and declines the rest as not sent, and the entry looks again; a target that ran nothing gets no more than its cold bound until it has said something.

--- a/internal/fleet/owner/desk.go
+++ b/internal/fleet/owner/desk.go
@@ -44,6 +44,9 @@
 	service time.Duration
 	// chilled is set from the moment the target turns cold until its queue has been cut to size.
 	chilled bool
+	// unsure is set while nothing has been heard of the target since it last ran nothing: it may have
+	// started anew meanwhile, without any attempt that could have shown it.
+	unsure bool
 	// left attempts of an earlier owner may run until leftBy.
 	left   int
 	leftBy time.Time
@@ -87,7 +90,11 @@
 			delete(d.running, id)
 		}
 	}
-	return d.health.Level - len(d.running) - d.Left(now)
+	bears := d.health.Level
+	if d.unsure {
+		bears = min(bears, d.bounds.Cold)
+	}
+	return bears - len(d.running) - d.Left(now)
 }
 
 // MaySend tells right before the send whether a started attempt may still go out.
@@ -109,6 +116,9 @@
 		d.running[j.ID] = time.Time{}
 		return Start{}
 	}
+	if d.health.Phase == target.Cold && d.queue.Len() >= d.health.Level {
+		return Refuse{Reason: outcome.NoTarget, Text: "enough requests wait for a cold target", RetryAfter: max(d.drain(1), minRetry)}
+	}
 	if late := now.Add(d.wait(j, free) + d.service).Sub(j.By); late > 0 {
 		return Refuse{Reason: outcome.Overload, Text: "the wait for the target is too long", RetryAfter: max(late, minRetry)}
 	}
@@ -178,7 +188,10 @@
 }
 
 // Booted takes in what the target calls its start.
-func (d *Desk) Booted(boot string) { d.learn(d.health.Booted(boot, d.bounds)) }
+func (d *Desk) Booted(boot string) {
+	d.learn(d.health.Booted(boot, d.bounds))
+	d.unsure = false
+}
 
 // Chill makes the target count as cold.
 func (d *Desk) Chill() { d.learn(d.health.Chilled(d.bounds)) }
@@ -209,12 +222,16 @@
 }
 
 // Release stops counting an attempt that surely does not run.
-func (d *Desk) Release(id string) { delete(d.running, id) }
+func (d *Desk) Release(id string) {
+	delete(d.running, id)
+	d.unsure = d.unsure || len(d.running) == 0
+}
 
 // Answered takes in a whole answer and its latencies.
 func (d *Desk) Answered(now time.Time, id string, first, whole time.Duration, boot string) {
-	d.Release(id)
+	d.unsure = false
 	d.learn(d.health.Answered(now, first, boot, d.bounds))
+	d.Release(id)
 	if d.service == 0 {
 		d.service = whole
 	} else {
--- a/internal/serving/entry/stage.go
+++ b/internal/serving/entry/stage.go
@@ -16,6 +16,7 @@
 	maxLooks      = 4
 	maxRetries    = 2
 	lookPause     = 50 * time.Millisecond
+	maxLookPause  = 300 * time.Millisecond
 	cancelTimeout = 500 * time.Millisecond
 )
 
@@ -146,13 +147,14 @@
 	now := r.entry.cfg.Now()
 	reserve := r.plan.pipeline.Reserve(r.index, r.plan.whole)
 	patience := r.plan.request.Deadline.Add(-reserve - r.plan.whole/4)
-	if last.reason != outcome.NoTarget || !now.Add(lookPause).Before(patience) {
+	wait := min(max(last.retry/2, lookPause), maxLookPause)
+	if last.reason != outcome.NoTarget || !now.Add(wait).Before(patience) {
 		return last, true
 	}
 	select {
 	case <-ctx.Done():
 		return last, true
-	case <-time.After(lookPause):
+	case <-time.After(wait):
 		return nil, false
 	}
 }
