--- a/internal/bench/bed/bed.go
+++ b/internal/bench/bed/bed.go
@@ -232,7 +232,7 @@
 		if n.Gate, err = gate.New(l.Addr().String()); err != nil {
 			return err
 		}
-		cfg.Advertise = n.Gate.Address()
+		cfg.Settings.Peer.Advertise = n.Gate.Address()
 	}
 	if n.Process, err = process.Start(cfg); err != nil {
 		return err
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -44,8 +44,6 @@
 	Now      func() time.Time
 	// Listener is where peers are served; nil listens on the settings' address.
 	Listener net.Listener
-	// Advertise is the address told to peers; "" tells the listener's.
-	Advertise string
 	// ServerTLS and ClientTLS are nil for plain TCP between nodes.
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
@@ -106,8 +104,9 @@
 		}
 		cfg.Listener = l
 	}
-	if cfg.Advertise == "" {
-		cfg.Advertise = cfg.Listener.Addr().String()
+	advertise := s.Peer.Advertise
+	if advertise == "" {
+		advertise = cfg.Listener.Addr().String()
 	}
 	now := cfg.Now()
 	n := &Node{
@@ -125,7 +124,7 @@
 		Name:       s.Name,
 		Generation: generation,
 		Datacentre: s.Datacentre,
-		Peer:       cfg.Advertise,
+		Peer:       advertise,
 		Caller:     s.Caller.Address,
 		State:      member.Joining,
 	})
@@ -207,7 +206,7 @@
 func (n *Node) Table() *member.Table { return n.table.Load() }
 
 // PeerAddress is where peers reach the node.
-func (n *Node) PeerAddress() string { return n.cfg.Advertise }
+func (n *Node) PeerAddress() string { return n.Self().Peer }
 
 // Release is the release in force, nil if there is none yet.
 func (n *Node) Release() *release.Release { return n.catalog.Load().release }
--- a/internal/operator/process/process.go
+++ b/internal/operator/process/process.go
@@ -40,9 +40,8 @@
 	Seed     uint64
 	// Platform replaces the client that the settings name; it may be nil.
 	Platform node.Platform
-	// Peer and Advertise replace the listener and the address for peers; they may be empty.
-	Peer      net.Listener
-	Advertise string
+	// Peer replaces the listener for peers; it may be nil.
+	Peer net.Listener
 }
 
 // Process is a node with its servers.
@@ -115,7 +114,7 @@
 func (p *Process) build() error {
 	s := p.cfg.Settings
 	s.Caller.Address = p.caller.Addr().String()
-	cfg := node.Config{Settings: s, Platform: p.cfg.Platform, Log: p.cfg.Log, Now: time.Now, Seed: p.cfg.Seed, Listener: p.cfg.Peer, Advertise: p.cfg.Advertise}
+	cfg := node.Config{Settings: s, Platform: p.cfg.Platform, Log: p.cfg.Log, Now: time.Now, Seed: p.cfg.Seed, Listener: p.cfg.Peer}
 	var err error
 	if s.Peer.TLS.Set() {
 		if cfg.ServerTLS, err = transport.ServerTLS(s.Peer.TLS, time.Now, p.cfg.Log); err != nil {
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -65,6 +65,8 @@
 // Peer is the side that other nodes reach.
 type Peer struct {
 	Address string `toml:"address"`
+	// Advertise is the address told to other nodes, the listening one if it is empty.
+	Advertise string `toml:"advertise"`
 	// Seeds are peer addresses to ask when the platform does not answer at the start.
 	Seeds []string `toml:"seeds"`
 	TLS   TLS      `toml:"tls"`
@@ -183,6 +185,7 @@
 	c.Check(address(s.Caller.Address), "caller.address", "must be IP:PORT, not %q", s.Caller.Address)
 	c.Check(s.Caller.Body >= 1 && s.Caller.Body <= 8<<20, "caller.body", "must be 1 to %d bytes, not %d", 8<<20, s.Caller.Body)
 	c.Check(address(s.Peer.Address), "peer.address", "must be IP:PORT, not %q", s.Peer.Address)
+	c.Check(s.Peer.Advertise == "" || address(s.Peer.Advertise), "peer.advertise", "must be IP:PORT, not %q", s.Peer.Advertise)
 	for _, seed := range s.Peer.Seeds {
 		c.Check(address(seed), "peer.seeds", "must be IP:PORT, not %q", seed)
 	}
