Give each cell of the matrix ports of its own

Change: ports are counted up, below those of outgoing connections; goodput counts answers by the time that they come.

--- a/internal/bench/experiment/experiment.go
+++ b/internal/bench/experiment/experiment.go
@@ -78,7 +78,7 @@
 	// Over counts arrivals at cold targets beyond what they bear.
 	Over     int `json:"over"`
 	ColdPeak int `json:"coldpeak"`
-	// Goodput is what was answered in time while the load was beyond capacity, as a part of capacity.
+	// Goodput is the rate of answers in time while the load was beyond capacity, as a part of capacity.
 	Goodput float64 `json:"goodput,omitempty"`
 }
 
@@ -246,7 +246,7 @@
 	for _, p := range r.Timeline {
 		at := time.Duration(p.Second * float64(time.Second))
 		if at >= whole/3 && at < 2*whole/3 {
-			attained += p.Attained
+			attained += p.Ended
 		}
 	}
 	return float64(attained) / (full * (whole / 3).Seconds())
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -68,6 +68,8 @@
 	Second   float64 `json:"second"`
 	Offered  int     `json:"offered"`
 	Attained int     `json:"attained"`
+	// Ended counts the attained requests whose answer came in this step, whenever they were offered.
+	Ended int `json:"ended"`
 }
 
 // Report is what came of a load.
@@ -201,6 +203,7 @@
 		default:
 			r.report.Attained++
 			step.Attained++
+			r.step(at + took).Ended++
 			_ = r.taken.RecordValue(took.Microseconds())
 		}
 	case outcome.NameNotRun:
--- a/internal/bench/matrix/fleet_test.go
+++ b/internal/bench/matrix/fleet_test.go
@@ -82,13 +82,28 @@
 	return nil
 }
 
+// firstPort is below the ports that the system gives to outgoing connections, so that none of them is in the way.
+const firstPort = 20000
+
+var (
+	portMu   sync.Mutex
+	nextPort = firstPort
+)
+
+// port gives an address that no other cell is given.
 func port() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	portMu.Lock()
+	defer portMu.Unlock()
+	for {
+		nextPort++
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 func run(name, log, program string, args ...string) (*machine, error) {
--- a/internal/bench/matrix/matrix_test.go
+++ b/internal/bench/matrix/matrix_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -16,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/journal"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/process"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/publication"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/outcome"
@@ -151,6 +153,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
+	journal.Adopt(journal.New(journal.Config{Level: "error", Out: io.Discard}))
 	dir, err := os.MkdirTemp("", "matrix")
 	if err == nil {
 		err = build(dir)
