--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -203,7 +203,7 @@
 		default:
 			r.report.Attained++
 			step.Attained++
-			r.step(at + took).Ended++
+			r.step(at+took).Ended++
 			_ = r.taken.RecordValue(took.Microseconds())
 		}
 	case outcome.NameNotRun:
