--- /dev/null
+++ b/internal/bench/bed/caller_test.go
@@ -0,0 +1,194 @@
+package bed
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/release"
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/team"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/outcome"
+	"github.com/lacewingdrift/lacewingdrift/internal/standin/engine"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/caller"
+)
+
+// readEvents reads server-sent events until it has so many parts or the outcome.
+func readEvents(t *testing.T, body io.Reader, most int) (id string, parts []string, end caller.Reply) {
+	t.Helper()
+	lines, event := bufio.NewScanner(body), ""
+	for lines.Scan() {
+		if name, ok := strings.CutPrefix(lines.Text(), "event: "); ok {
+			event = name
+		}
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		var reply caller.Reply
+		switch event {
+		case "part":
+			if parts = append(parts, data); len(parts) == most {
+				return id, parts, end
+			}
+		case "accepted", "outcome":
+			if err := json.Unmarshal([]byte(data), &reply); err != nil {
+				t.Fatal(err)
+			}
+			id = reply.ID
+			if event == "outcome" {
+				return id, parts, reply
+			}
+		}
+	}
+	return id, parts, end
+}
+
+func TestStreamIsResumedAtAnyNode(t *testing.T) {
+	b := start(t, Config{Warm: true})
+	nodes := b.Callers()
+	data, _ := json.Marshal(caller.Call{Team: "keepers", Stream: true, Input: Input("o")})
+	resp, err := http.Post("http://"+nodes[0]+"/v1/pipelines/letter", "application/json", bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	id, first, _ := readEvents(t, resp.Body, 3)
+	resp.Body.Close()
+	resp, err = http.Get("http://" + nodes[3] + "/v1/requests/" + id + "/events?after=3")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	_, rest, end := readEvents(t, resp.Body, 100)
+	got := append(first, rest...)
+	if end.Outcome != outcome.NameAnswered || len(got) != StreamEvents {
+		t.Fatalf("got %s with %d events, want an answer with %d", end.Outcome, len(got), StreamEvents)
+	}
+	for i, e := range got {
+		if want := fmt.Sprintf(`{"order":"o","token":%d}`, i+1); e != want {
+			t.Errorf("got event %s, want %s", e, want)
+		}
+	}
+	lookup, err := http.Get("http://" + nodes[5] + "/v1/requests/" + id + "?wait=1s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lookup.Body.Close()
+	if got := lookup.Header.Get(caller.HeaderOutcome); got != string(outcome.NameAnswered) {
+		t.Errorf("got outcome %q by its id, want %q", got, outcome.NameAnswered)
+	}
+}
+
+func TestForeignLateAndCutAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults engine.Faults
+	}{
+		{"foreign", engine.Faults{Foreign: 1}},
+		{"doubled", engine.Faults{Double: 2}},
+		{"cut", engine.Faults{Cut: 1}},
+		{"error", engine.Faults{Error: 1}},
+	}
+	b := start(t, Config{Warm: true})
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, e := range b.Engines("letters") {
+				e.SetFaults(tt.faults)
+			}
+			defer func() {
+				for _, e := range b.Engines("letters") {
+					e.SetFaults(engine.Faults{})
+				}
+			}()
+			data, _ := json.Marshal(caller.Call{Team: "keepers", Stream: true, Input: Input(tt.name)})
+			resp, err := http.Post("http://"+b.Callers()[0]+"/v1/pipelines/letter", "application/json", bytes.NewReader(data))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			_, parts, end := readEvents(t, resp.Body, 100)
+			if end.Outcome != outcome.NameAnswered && end.Outcome != outcome.NameFailed {
+				t.Fatalf("got %s %s, want an answer, or a failure that says so", end.Outcome, end.Text)
+			}
+			if end.Outcome == outcome.NameAnswered && len(parts) != StreamEvents {
+				t.Errorf("got %d events in an answer, want %d", len(parts), StreamEvents)
+			}
+			for i, e := range parts {
+				if want := fmt.Sprintf(`{"order":%q,"token":%d}`, tt.name, i+1); e != want {
+					t.Errorf("got event %s, want %s", e, want)
+				}
+			}
+		})
+	}
+}
+
+func TestBadInputRunsNothing(t *testing.T) {
+	b := start(t, Config{Nodes: 3})
+	tests := []struct {
+		name, pipeline, body string
+		want                 int
+	}{
+		{"no JSON", "gate", "{", 400},
+		{"unknown pipeline", "nothing", `{"team":"gates","input":{}}`, 404},
+		{"unknown team", "gate", `{"team":"strangers","input":{}}`, 404},
+		{"over the bound", "gate", `{"team":"gates","input":"` + strings.Repeat("x", 300<<10) + `"}`, 413},
+		{"deadline passed", "gate", `{"team":"gates","deadline":"-1s","input":{}}`, 400},
+		{"no time", "gate", `{"team":"gates","deadline":"1ns","input":{}}`, 503},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			resp, err := http.Post("http://"+b.Callers()[0]+"/v1/pipelines/"+tt.pipeline, "application/json", strings.NewReader(tt.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if got := resp.Header.Get(caller.HeaderOutcome); resp.StatusCode != tt.want || got != string(outcome.NameNotRun) {
+				t.Errorf("got %d %s, want %d %s", resp.StatusCode, got, tt.want, outcome.NameNotRun)
+			}
+		})
+	}
+	if got := b.Truth("ticketing").Runs; got != 0 {
+		t.Errorf("got %d runs, want 0", got)
+	}
+}
+
+// TestLargeTeamCannotPushSmallOneOut lets one team offer far more than there is while another asks for a little.
+func TestLargeTeamCannotPushSmallOneOut(t *testing.T) {
+	b := start(t, Config{Warm: true, Change: func(s release.Set) {
+		for _, name := range []string{"families", "members"} {
+			s.Teams[name] = team.Team{Name: name}.WithDefaults()
+		}
+	}})
+	var calls sync.WaitGroup
+	for i := range 900 {
+		calls.Go(func() {
+			time.Sleep(time.Duration(i) * 4 * time.Millisecond)
+			_, _, _ = post(b.Callers()[i%6], "letter", caller.Call{Team: "families", Input: Input(fmt.Sprint("large", i))})
+		})
+	}
+	time.Sleep(time.Second)
+	var mu sync.Mutex
+	answered := 0
+	const asked = 25
+	for i := range asked {
+		calls.Go(func() {
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			r, _, err := post(b.Callers()[i%6], "letter", caller.Call{Team: "members", Input: Input(fmt.Sprint("small", i))})
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && r.Outcome == outcome.NameAnswered {
+				answered++
+			}
+		})
+	}
+	calls.Wait()
+	if answered != asked {
+		t.Errorf("got %d of the small team's %d requests answered, want all: it is far below its share", answered, asked)
+	}
+}
--- /dev/null
+++ b/internal/serving/admission/bench_test.go
@@ -0,0 +1,23 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkQueue is one push and one pop with so many teams waiting.
+func BenchmarkQueue(b *testing.B) {
+	for _, teams := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			q := NewQueue()
+			for i := range teams {
+				q.Push(Job{ID: fmt.Sprint(i), Team: fmt.Sprint(i), Weight: 1, Rank: 1, By: start})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				j, _ := q.Pop()
+				q.Push(j)
+			}
+		})
+	}
+}
