Forget nodes that are long gone, and count the platform's calls

Ruled out: dropping a row at once (an older one of it would come back by a heartbeat). Change: a row carries when its state changed and is dropped an hour after it is gone, by each node for itself; relays delete the platform's objects. A benchmark counts calls.

--- a/internal/bench/bed/bench_test.go
+++ b/internal/bench/bed/bench_test.go
@@ -1,11 +1,16 @@
 package bed
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/release"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/outcome"
+	"github.com/lacewingdrift/lacewingdrift/internal/standin/store"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/backend"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/caller"
 )
@@ -43,3 +48,46 @@
 		}
 	})
 }
+
+// BenchmarkPlatformCalls counts the platform calls of an idle fleet for each node and second: with relays that
+// list and watch, and with a poll of the same three lists by every node at every heartbeat.
+func BenchmarkPlatformCalls(b *testing.B) {
+	const idle = 5 * time.Second
+	for _, nodes := range []int{8, 16, 64} {
+		b.Run(fmt.Sprintf("relays/nodes=%d", nodes), func(b *testing.B) {
+			bed, err := Start(Config{Deployment: "zoo", Nodes: nodes, Seed: 1})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer bed.Stop()
+			time.Sleep(idle)
+			before := bed.Store.Counts()
+			time.Sleep(idle)
+			after := bed.Store.Counts()
+			each := float64(nodes) * idle.Seconds()
+			b.ReportMetric(float64(calls(after)-calls(before))/each, "calls/node/s")
+			b.ReportMetric(float64(after.Writes-before.Writes)/each, "writes/node/s")
+		})
+		b.Run(fmt.Sprintf("polls/nodes=%d", nodes), func(b *testing.B) {
+			s := store.New()
+			beat := settings.Default().Timing.Beat.Duration()
+			ctx, stop := context.WithTimeout(b.Context(), idle)
+			defer stop()
+			var pollers sync.WaitGroup
+			for range nodes {
+				pollers.Go(func() {
+					for ctx.Err() == nil {
+						_, _ = s.List(ctx, "head", "")
+						_, _ = s.List(ctx, "member", "")
+						_, _ = s.VMs(ctx)
+						time.Sleep(beat)
+					}
+				})
+			}
+			pollers.Wait()
+			b.ReportMetric(float64(calls(s.Counts()))/(float64(nodes)*idle.Seconds()), "calls/node/s")
+		})
+	}
+}
+
+func calls(c store.Counts) int64 { return c.Reads + c.Writes + c.Lists + c.Watches + c.VMs }
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -35,15 +36,26 @@
 	Peer       string `json:"peer"`
 	Caller     string `json:"caller"`
 	State      State  `json:"state"`
+	// At is when the state changed, in Unix milliseconds.
+	At int64 `json:"at"`
 }
 
+// KeepGone is how long the row of a node that is gone is kept, so that no older row of it comes back.
+const KeepGone = time.Hour
+
 // WithState gives the next change of the row in another state.
-func (m Member) WithState(s State) Member {
+func (m Member) WithState(s State, now time.Time) Member {
 	m.State = s
 	m.Change++
+	m.At = now.UnixMilli()
 	return m
 }
 
+// Past tells whether the row may be forgotten.
+func (m Member) Past(now time.Time) bool {
+	return m.State == Gone && now.Sub(time.UnixMilli(m.At)) > KeepGone
+}
+
 // Newer tells whether m replaces old.
 func (m Member) Newer(old Member) bool {
 	if m.Generation != old.Generation {
@@ -119,16 +131,32 @@
 }
 
 // Merge gives the table with every newer row of rows taken in, and whether anything changed.
-func (t *Table) Merge(rows []Member) (*Table, bool) {
-	changed := false
+func (t *Table) Merge(now time.Time, rows []Member) (*Table, bool) {
+	var fresh []Member
 	for _, m := range rows {
 		old, ok := t.rows[m.Name]
-		if !ok || m.Newer(old) {
-			changed = true
+		if (!ok && !m.Past(now)) || (ok && m.Newer(old)) {
+			fresh = append(fresh, m)
 		}
 	}
-	if !changed {
+	if len(fresh) == 0 {
 		return t, false
 	}
-	return NewTable(append(t.Rows(), rows...)), true
+	return NewTable(append(t.Rows(), fresh...)), true
+}
+
+// Prune gives the table without the rows that may be forgotten, and those rows.
+func (t *Table) Prune(now time.Time) (*Table, []Member) {
+	var kept, past []Member
+	for _, m := range t.Rows() {
+		if m.Past(now) {
+			past = append(past, m)
+			continue
+		}
+		kept = append(kept, m)
+	}
+	if len(past) == 0 {
+		return t, nil
+	}
+	return NewTable(kept), past
 }
--- a/internal/fleet/node/digest.go
+++ b/internal/fleet/node/digest.go
@@ -224,6 +224,7 @@
 		Peer:       m.Peer,
 		Caller:     m.Caller,
 		State:      string(m.State),
+		At:         m.At,
 	}
 }
 
@@ -236,5 +237,6 @@
 		Peer:       m.GetPeer(),
 		Caller:     m.GetCaller(),
 		State:      member.State(m.GetState()),
+		At:         m.GetAt(),
 	}
 }
--- a/internal/fleet/node/membership.go
+++ b/internal/fleet/node/membership.go
@@ -64,7 +64,7 @@
 	n.lease.Store(&l)
 	n.become(func(m member.Member) member.Member {
 		m.Generation = generation
-		return m.WithState(member.Live)
+		return m.WithState(member.Live, now)
 	})
 	n.log.With("generation", generation).Info("joined")
 	return nil
@@ -138,7 +138,7 @@
 func (n *Node) learnMembers(rows []member.Member) {
 	n.changes.Lock()
 	defer n.changes.Unlock()
-	next, changed := n.table.Load().Merge(rows)
+	next, changed := n.table.Load().Merge(n.cfg.Now(), rows)
 	if !changed {
 		return
 	}
@@ -224,8 +224,36 @@
 }
 
 func (n *Node) gone(m member.Member) {
-	m = m.WithState(member.Gone)
+	m = m.WithState(member.Gone, n.cfg.Now())
 	n.learnMembers([]member.Member{m})
 	go n.publishMember(m)
 	go n.spread()
 }
+
+// forgetGone drops the rows of nodes that are long gone; relays drop their objects at the platform too.
+func (n *Node) forgetGone(ctx context.Context) {
+	n.changes.Lock()
+	next, past := n.table.Load().Prune(n.cfg.Now())
+	n.table.Store(next)
+	n.changes.Unlock()
+	if !n.relays() {
+		return
+	}
+	for _, m := range past {
+		n.forgetObject(ctx, member.Kind, m.Name)
+		if r, _, err := n.readLease(ctx, m.Name); err == nil && r.State == lease.Ended {
+			n.forgetObject(ctx, lease.Kind, m.Name)
+		}
+	}
+}
+
+// forgetObject deletes an object of a node that is gone, unless it has changed meanwhile.
+func (n *Node) forgetObject(ctx context.Context, kind, name string) {
+	o, err := n.cfg.Platform.Get(ctx, kind, name)
+	if err != nil {
+		return
+	}
+	if err := n.cfg.Platform.Delete(ctx, kind, name, o.Version); err != nil {
+		n.log.Debug("object of a gone node cannot be deleted: " + err.Error())
+	}
+}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -164,6 +164,7 @@
 	n.spawn(func() { every(ctx, beat, n.guard) })
 	n.spawn(func() { every(ctx, beat, n.reconcile) })
 	n.spawn(func() { every(ctx, beat, n.report) })
+	n.spawn(func() { every(ctx, forgetEvery, n.forgetGone) })
 	n.log.Info("started")
 }
 
@@ -175,6 +176,8 @@
 	}()
 }
 
+const forgetEvery = time.Minute
+
 // every runs f at once and then after each pause of d, until ctx ends.
 func every(ctx context.Context, d time.Duration, f func(context.Context)) {
 	for ctx.Err() == nil {
--- a/internal/fleet/node/stop.go
+++ b/internal/fleet/node/stop.go
@@ -13,7 +13,7 @@
 // Stop leaves the fleet without cutting anything short; it returns once all that runs has ended, or ctx has.
 func (n *Node) Stop(ctx context.Context) {
 	n.log.Info("stopping")
-	n.become(func(m member.Member) member.Member { return m.WithState(member.Stopping) })
+	n.become(func(m member.Member) member.Member { return m.WithState(member.Stopping, n.cfg.Now()) })
 	n.handOverAll(ctx)
 	// The balancer still sends callers here for a while.
 	pause(ctx, n.cfg.Settings.Timing.Lag.Duration())
@@ -59,7 +59,7 @@
 	if _, err := n.cfg.Platform.Put(ctx, lease.Kind, n.Name(), l.Version, record); err != nil {
 		n.log.Debug("lease cannot be given up: " + err.Error())
 	}
-	m := n.Self().WithState(member.Gone)
+	m := n.Self().WithState(member.Gone, n.cfg.Now())
 	n.self.Store(&m)
 	n.learnMembers([]member.Member{m})
 	n.publishMember(m)
