Read leases and heads only when there is reason to

Cause: an idle node made 0.4 reads a second. Two sources: nodes asked for the head after two seconds without news, before heartbeats could bring it; and a node that was once the warden of another read that one's lease at every beat, since it heard no more of it. Ruled out: the relays' own calls (six a second in all, at 8, 16 and 64 nodes). Change: the head is asked for after three quarters of the bound; a node that reads a lease which no longer names it as warden forgets the ward.

--- a/internal/fleet/node/catalog.go
+++ b/internal/fleet/node/catalog.go
@@ -249,7 +249,8 @@
 
 // refresh asks the platform for the head itself when no news of it has come for a while.
 func (n *Node) refresh(ctx context.Context) {
-	if n.cfg.Now().Sub(n.hearing.freshest()) < n.cfg.Settings.Timing.Bound.Duration()/2 {
+	// Heartbeats need some rounds to bring the relays' word everywhere; asking before that is waste.
+	if n.cfg.Now().Sub(n.hearing.freshest()) < 3*n.cfg.Settings.Timing.Bound.Duration()/4 {
 		return
 	}
 	o, err := n.cfg.Platform.Get(ctx, HeadKind, HeadName)
--- a/internal/fleet/node/wards.go
+++ b/internal/fleet/node/wards.go
@@ -157,6 +157,7 @@
 	r, version, err := n.readLease(ctx, name)
 	if err == nil && version != 0 {
 		n.wards.saw(sent, name, n.Name(), r)
+		n.wards.learn(name, contains(r.Wardens, n.Name()))
 	}
 }
 
@@ -244,6 +245,8 @@
 		return
 	}
 	if !contains(r.Wardens, n.Name()) {
+		// A former ward sends no heartbeats here any more; that it is silent says nothing.
+		n.wards.learn(m.Name, false)
 		n.replaceWardens(ctx, m.Name, r, version)
 		return
 	}
