--- a/internal/fleet/target/health.go
+++ b/internal/fleet/target/health.go
@@ -112,7 +112,7 @@
 // stepped ends a round of answers: the level moves by one step.
 func (h Health) stepped(b Bounds) Health {
 	mean := h.round / time.Duration(h.streak)
-	crowded := h.base > 0 && mean > crowdedFactor*h.base
+	crowded := h.base > 0 && mean > crowdedFactor*h.base+slowFloor
 	h.streak, h.round = 0, 0
 	switch {
 	case h.Phase == Cold:
