--- a/internal/serving/entry/choice.go
+++ b/internal/serving/entry/choice.go
@@ -8,6 +8,7 @@
 const (
 	hintAge    = 500 * time.Millisecond
 	avoidShort = 200 * time.Millisecond
+	draws      = 4
 )
 
 // Candidate is a target that may be asked, and the node that seems to own it.
@@ -75,7 +76,7 @@
 	c.view(target).mine += n
 }
 
-// Pick takes the better of two targets drawn by pick, among those not tried and preferably not avoided.
+// Pick takes the best of a few targets drawn by pick, among those not tried and preferably not avoided.
 func (c *Choice) Pick(now time.Time, list []Candidate, tried map[string]bool, pick func(n int) int) (Candidate, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -96,12 +97,14 @@
 	if len(good) == 0 {
 		return Candidate{}, false
 	}
-	a := good[pick(len(good))]
-	b := good[pick(len(good))]
-	if c.score(now, b.Target) < c.score(now, a.Target) {
-		return b, true
+	best := good[pick(len(good))]
+	for range draws - 1 {
+		x := good[pick(len(good))]
+		if c.score(now, x.Target) < c.score(now, best.Target) {
+			best = x
+		}
 	}
-	return a, true
+	return best, true
 }
 
 // score is how full a target is, as a part of what it bears.
