Refuse at once what would be refused after three stages

Cause: under three times the capacity a request went through encode, retrieve and rerank before the engines refused it: 1.5 attempts of those stages for each answer, and failed in place of notrun. Ruled out: refusing by the length of the queues (a small team would be refused for a large one's queue); longer memory of hints. Change: after a pool's targets have refused a request for want of time, its entry refuses requests of the same team and priority for 50 to 250 ms at once, as not run.

--- a/internal/serving/entry/entry.go
+++ b/internal/serving/entry/entry.go
@@ -61,6 +61,15 @@
 	mu      sync.Mutex
 	rates   map[string]budget.Rate
 	retries map[string]*budget.Retries
+	// full holds until when requests of a team and priority are refused for a pool that has just refused one.
+	full map[crowd]time.Time
+}
+
+// crowd is the requests that share a place in the queues of a pool.
+type crowd struct {
+	pool     string
+	team     string
+	priority team.Priority
 }
 
 // New makes an entry.
@@ -71,6 +80,7 @@
 		logs:    request.NewRegistry(),
 		rates:   map[string]budget.Rate{},
 		retries: map[string]*budget.Retries{},
+		full:    map[crowd]time.Time{},
 	}
 }
 
@@ -175,8 +185,12 @@
 	return wait
 }
 
-// hopeless refuses a request whose stages together would wait past its deadline.
+// hopeless refuses a request whose stages together would wait past its deadline, or whose like has just
+// been refused: the stages before would run for nothing.
 func (e *Entry) hopeless(now time.Time, p plan) outcome.Outcome {
+	if wait := e.crowded(now, p); wait > 0 {
+		return outcome.NotRun{Reason: outcome.Overload, Text: "a stage has just refused a request like this", RetryAfter: max(minRetry, wait)}
+	}
 	var wait time.Duration
 	for _, s := range p.stages {
 		wait += e.choice.Wait(now, e.cfg.Fleet.Candidates(s.Pool))
@@ -187,6 +201,34 @@
 	return outcome.NotRun{Reason: outcome.Overload, Text: "the wait for its stages is longer than the deadline", RetryAfter: max(minRetry, wait-p.whole)}
 }
 
+const (
+	minFull = 50 * time.Millisecond
+	maxFull = 250 * time.Millisecond
+)
+
+// overloaded notes that the targets of a pool have refused a request for want of time.
+func (e *Entry) overloaded(now time.Time, p plan, pool string, retry time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for k, until := range e.full {
+		if !now.Before(until) {
+			delete(e.full, k)
+		}
+	}
+	e.full[crowd{pool, p.request.Team, p.priority}] = now.Add(min(max(retry, minFull), maxFull))
+}
+
+// crowded is how long requests like this one are still refused, 0 if they are not.
+func (e *Entry) crowded(now time.Time, p plan) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var wait time.Duration
+	for _, s := range p.stages {
+		wait = max(wait, e.full[crowd{s.Pool, p.request.Team, p.priority}].Sub(now))
+	}
+	return wait
+}
+
 const minRetry = 100 * time.Millisecond
 
 func (e *Entry) budget(pool string) *budget.Retries {
--- a/internal/serving/entry/run.go
+++ b/internal/serving/entry/run.go
@@ -86,6 +86,9 @@
 			sent = sent || i == p.never
 			in.Prior[s.Name] = end.output
 		case declined:
+			if end.reason == outcome.Overload {
+				e.overloaded(e.cfg.Now(), p, s.Pool, end.retry)
+			}
 			return refusal(end, reached, sent), sent
 		case broken:
 			return outcome.Failed{Reason: end.reason, Text: "stage " + s.Name + ": " + end.text, Repeat: !sent, RetryAfter: repeatAfter(sent)}, sent
