Tell peers only the rows that changed lately

Ruled out: versions for each row and peer (state for 340 peers at each node). Change: the rows that changed in the last ten seconds go first; the whole table follows only if the tables still differ within five seconds. Reading as a newcomer: the names of release objects stood in two packages and are in one; watches is wardensFor.

--- a/internal/catalog/release/release.go
+++ b/internal/catalog/release/release.go
@@ -13,6 +13,15 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/team"
 )
 
+// The platform's object kinds and names of releases.
+const (
+	HeadKind  = "head"
+	HeadName  = "main"
+	ChunkKind = "chunk"
+	// HistoryKind holds the heads of former releases, by number.
+	HistoryKind = "release"
+)
+
 // Buckets is how many chunks the teams are spread over.
 const Buckets = 192
 
--- a/internal/fleet/node/bench_test.go
+++ b/internal/fleet/node/bench_test.go
@@ -72,12 +72,15 @@
 			n := benchNode(b, members, 10)
 			n.takeDigest(n.digest(nil))
 			usual := n.digest(nil)
+			// The first answer to a differing table tells what has changed lately, the next one all.
+			changed := n.digest(&peerpb.DigestMessage{})
 			full := n.digest(&peerpb.DigestMessage{})
 			for b.Loop() {
 				n.takeDigest(usual)
 				n.digest(usual)
 			}
 			b.ReportMetric(float64(proto.Size(usual)), "bytes")
+			b.ReportMetric(float64(proto.Size(changed)), "changedbytes")
 			b.ReportMetric(float64(proto.Size(full)), "tablebytes")
 		})
 	}
--- a/internal/fleet/node/catalog.go
+++ b/internal/fleet/node/catalog.go
@@ -21,13 +21,6 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/outcome"
 )
 
-// The platform's object kinds of a release.
-const (
-	HeadKind  = "head"
-	HeadName  = "main"
-	ChunkKind = "chunk"
-)
-
 const pullTimeout = 2 * time.Second
 
 // catalog is a release with its targets by name.
@@ -238,7 +231,7 @@
 func (n *Node) fetch(ctx context.Context, own *release.Release, h release.Head) (*release.Release, error) {
 	var fresh []release.Chunk
 	for _, hash := range own.Missing(h) {
-		o, err := n.cfg.Platform.Get(ctx, ChunkKind, hash)
+		o, err := n.cfg.Platform.Get(ctx, release.ChunkKind, hash)
 		if err != nil {
 			return nil, merry.Prependf(err, "fetch release %d", h.Number)
 		}
@@ -253,7 +246,7 @@
 	if n.cfg.Now().Sub(n.hearing.freshest()) < 3*n.cfg.Settings.Timing.Bound.Duration()/4 {
 		return
 	}
-	o, err := n.cfg.Platform.Get(ctx, HeadKind, HeadName)
+	o, err := n.cfg.Platform.Get(ctx, release.HeadKind, release.HeadName)
 	if errors.Is(err, object.ErrMissing) {
 		n.hearing.fresh(n.cfg.Now())
 		return
--- a/internal/fleet/node/digest.go
+++ b/internal/fleet/node/digest.go
@@ -16,12 +16,15 @@
 const (
 	beatTimeout = time.Second
 	spreadWidth = 3
+	// lately is how far back a change of a row is told first, tableEvery how soon the whole table follows.
+	lately     = 10 * time.Second
+	tableEvery = 5 * time.Second
 )
 
 // beat sends a heartbeat to the nodes that watch this one and to one more at random.
 func (n *Node) beat(ctx context.Context) {
 	t := n.table.Load()
-	targets := append(watches(t, n.Self()), n.wards.wardens()...)
+	targets := append(wardensFor(t, n.Self()), n.wards.wardens()...)
 	targets = append(targets, n.randomPeers(t, 1)...)
 	sent := map[string]bool{}
 	for _, name := range targets {
@@ -111,9 +114,7 @@
 		return d
 	}
 	if other.Table != d.Table {
-		for _, m := range t.Rows() {
-			d.Members = append(d.Members, packMember(m))
-		}
+		d.Members = n.rowsFor(other.GetSender().GetName(), t)
 	}
 	if other.Vms < leavers.Change {
 		d.Leavers, d.Whole = leavers.Names, true
@@ -121,6 +122,20 @@
 	return d
 }
 
+// rowsFor gives the rows that a node with another table probably lacks: those that changed lately, and
+// all if that was not enough a moment ago.
+func (n *Node) rowsFor(name string, t *member.Table) []*peerpb.Member {
+	now := n.cfg.Now()
+	whole := n.hearing.sentLately(now, name)
+	var list []*peerpb.Member
+	for _, m := range t.Rows() {
+		if whole || now.Sub(time.UnixMilli(m.At)) < lately {
+			list = append(list, packMember(m))
+		}
+	}
+	return list
+}
+
 // Digest takes a peer's heartbeat in and answers with this node's own.
 func (n *Node) Digest(_ context.Context, d *peerpb.DigestMessage) (*peerpb.DigestMessage, error) {
 	n.takeDigest(d)
--- a/internal/fleet/node/fleet.go
+++ b/internal/fleet/node/fleet.go
@@ -88,3 +88,6 @@
 	}
 	return send(&peerpb.FollowEvent{Type: followOutcome, Data: data})
 }
+
+// CutPeers cuts this node's calls to its peers, for tests of a node that is cut off.
+func (n *Node) CutPeers(cut bool) { n.conns.Cut(cut) }
--- a/internal/fleet/node/hearing.go
+++ b/internal/fleet/node/hearing.go
@@ -13,12 +13,24 @@
 	platform time.Time
 	peers    map[string]time.Time
 	places   map[string]time.Time
+	// told is when each peer was last sent the rows that had changed lately.
+	told map[string]time.Time
 }
 
 func (h *hearing) init(now time.Time) {
 	h.platform = now
 	h.peers = map[string]time.Time{}
 	h.places = map[string]time.Time{}
+	h.told = map[string]time.Time{}
+}
+
+// sentLately tells whether a peer was sent the latest rows a moment ago, and notes that it is now.
+func (h *hearing) sentLately(now time.Time, name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	again := now.Sub(h.told[name]) < tableEvery
+	h.told[name] = now
+	return again
 }
 
 // fresh notes that the release in force was the platform's own at that time.
--- a/internal/fleet/node/membership.go
+++ b/internal/fleet/node/membership.go
@@ -13,7 +13,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 )
 
-const watchers = 2
+const wardensEach = 2
 
 // leaseLoop joins, then renews; a lost lease means joining again under a new generation.
 func (n *Node) leaseLoop(ctx context.Context) {
@@ -53,7 +53,7 @@
 	}
 	now := n.cfg.Now()
 	generation := max(uint64(now.UnixMilli()), old.Generation+1, n.Self().Generation)
-	wardens := watches(n.table.Load(), n.Self())
+	wardens := wardensFor(n.table.Load(), n.Self())
 	n.addWardens(wardens)
 	o, err := n.cfg.Platform.Put(ctx, lease.Kind, n.Name(), version, lease.Record{Generation: generation, State: lease.Held, Wardens: wardens})
 	if err != nil {
@@ -155,7 +155,7 @@
 	}
 	now := n.cfg.Now()
 	l := *n.lease.Load()
-	wardens := watches(n.table.Load(), n.Self())
+	wardens := wardensFor(n.table.Load(), n.Self())
 	n.addWardens(wardens)
 	o, err := n.cfg.Platform.Put(ctx, lease.Kind, n.Name(), l.Version, lease.Record{Generation: l.Generation, State: lease.Held, Wardens: wardens})
 	switch {
@@ -194,14 +194,14 @@
 	n.dropAll()
 }
 
-// watches names the nodes that look after a node: they get its heartbeats and end its lease when it is gone.
-func watches(t *member.Table, m member.Member) []string {
+// wardensFor names the nodes that should look after a node: they get its heartbeats and end its lease when it is gone.
+func wardensFor(t *member.Table, m member.Member) []string {
 	others := without(t.LiveIn(m.Datacentre), m.Name)
 	if len(others) == 0 {
 		others = without(t.Live(), m.Name)
 	}
 	ranked := placement.Rank("watch/"+m.Name, others)
-	return ranked[:min(watchers, len(ranked))]
+	return ranked[:min(wardensEach, len(ranked))]
 }
 
 func without(list []string, name string) []string {
--- a/internal/fleet/node/relay.go
+++ b/internal/fleet/node/relay.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/release"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/member"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/placement"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/informer"
@@ -70,8 +71,8 @@
 	}
 	return informer.New(informer.Config{
 		Store: n.cfg.Platform,
-		Kind:  HeadKind,
-		Rand:  n.source(HeadKind),
+		Kind:  release.HeadKind,
+		Rand:  n.source(release.HeadKind),
 		Heard: func() {
 			if pending != nil {
 				take(pending)
@@ -81,13 +82,13 @@
 		},
 		Replace: func(l object.List) {
 			for _, o := range l.Items {
-				if o.Name == HeadName {
+				if o.Name == release.HeadName {
 					take(o.Value)
 				}
 			}
 		},
 		Apply: func(e object.Event) {
-			if e.Type == object.Put && e.Object.Name == HeadName {
+			if e.Type == object.Put && e.Object.Name == release.HeadName {
 				take(e.Object.Value)
 			}
 		},
--- a/internal/fleet/node/status.go
+++ b/internal/fleet/node/status.go
@@ -119,6 +119,3 @@
 
 // OwnedTargets names the targets that this node owns.
 func (n *Node) OwnedTargets() []string { return n.owner.Owned() }
-
-// CutPeers cuts this node's calls to its peers, for tests of a node that is cut off.
-func (n *Node) CutPeers(cut bool) { n.conns.Cut(cut) }
--- a/internal/fleet/node/wards.go
+++ b/internal/fleet/node/wards.go
@@ -228,7 +228,7 @@
 			n.wards.forget(m.Name)
 			continue
 		}
-		if n.wards.keeps(m.Name) || contains(watches(t, m), n.Name()) {
+		if n.wards.keeps(m.Name) || contains(wardensFor(t, m), n.Name()) {
 			n.suspect(ctx, m)
 		}
 	}
--- a/internal/operator/publication/publication.go
+++ b/internal/operator/publication/publication.go
@@ -14,15 +14,6 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 )
 
-// The platform's object kinds and names of releases.
-const (
-	HeadKind  = "head"
-	HeadName  = "main"
-	ChunkKind = "chunk"
-	// HistoryKind holds the heads of former releases, by number.
-	HistoryKind = "release"
-)
-
 const keepReleases = 20
 
 // Head is the platform's head object: the release in force and the change that put it there.
@@ -113,7 +104,7 @@
 // Rollback publishes the content of an earlier release under a new number.
 func (p Publisher) Rollback(ctx context.Context, w Order, number uint64) (Result, error) {
 	c := p.change(w, audit.Rollback)
-	o, err := p.store().Get(ctx, HistoryKind, historyName(number))
+	o, err := p.store().Get(ctx, release.HistoryKind, historyName(number))
 	if errors.Is(err, object.ErrMissing) {
 		return Result{}, p.refused(ctx, c, merry.Errorf("release %d is not kept", number))
 	}
@@ -147,7 +138,7 @@
 func (p Publisher) store() object.Store { return p.Editor.Store }
 
 func (p Publisher) change(w Order, act audit.Act) audit.Change {
-	return audit.Change{ID: p.Editor.NewID(), Who: w.Who, When: p.Editor.Now().UTC(), Act: act, Object: HeadKind + "/" + HeadName, Reason: w.Reason}
+	return audit.Change{ID: p.Editor.NewID(), Who: w.Who, When: p.Editor.Now().UTC(), Act: act, Object: release.HeadKind + "/" + release.HeadName, Reason: w.Reason}
 }
 
 func (p Publisher) refused(ctx context.Context, c audit.Change, why error) error {
@@ -160,7 +151,7 @@
 
 // Current reads the head; number 0 and version 0 mean that nothing was ever published.
 func (p Publisher) Current(ctx context.Context) (Head, uint64, error) {
-	o, err := p.store().Get(ctx, HeadKind, HeadName)
+	o, err := p.store().Get(ctx, release.HeadKind, release.HeadName)
 	if errors.Is(err, object.ErrMissing) {
 		return Head{}, 0, nil
 	}
@@ -178,7 +169,7 @@
 func (p Publisher) Load(ctx context.Context, h release.Head) (*release.Release, error) {
 	var chunks []release.Chunk
 	for _, hash := range h.Chunks {
-		o, err := p.store().Get(ctx, ChunkKind, hash)
+		o, err := p.store().Get(ctx, release.ChunkKind, hash)
 		if err != nil {
 			return nil, merry.Prependf(err, "load release %d", h.Number)
 		}
@@ -214,7 +205,7 @@
 func (p Publisher) writeChunk(ctx context.Context, c release.Chunk) error {
 	var err error
 	for range chunkTries {
-		_, err = p.store().Put(ctx, ChunkKind, c.Hash, 0, json.RawMessage(c.Data))
+		_, err = p.store().Put(ctx, release.ChunkKind, c.Hash, 0, json.RawMessage(c.Data))
 		var conflict *object.Conflict
 		if err == nil || errors.As(err, &conflict) {
 			return nil
@@ -230,7 +221,7 @@
 	}
 	number := max(old.Number, p.Floor()) + 1
 	next := Head{Head: release.Head{Number: number, ID: c.ID, Who: c.Who, Reason: c.Reason, Chunks: chunks}, Change: c}
-	_, err := p.store().Put(ctx, HeadKind, HeadName, version, next)
+	_, err := p.store().Put(ctx, release.HeadKind, release.HeadName, version, next)
 	if err != nil {
 		if err := p.settle(ctx, next, version, err); err != nil {
 			return Head{}, p.refused(ctx, c, err)
@@ -265,7 +256,7 @@
 	if err := p.Editor.Trail.Write(ctx, h.Change); err != nil {
 		return err
 	}
-	_, err := p.store().Put(ctx, HistoryKind, historyName(h.Number), 0, h)
+	_, err := p.store().Put(ctx, release.HistoryKind, historyName(h.Number), 0, h)
 	var conflict *object.Conflict
 	if errors.As(err, &conflict) {
 		return nil
@@ -277,7 +268,7 @@
 
 // tidy drops what only releases beyond the kept ones need; what fails is left for the next publish.
 func (p Publisher) tidy(ctx context.Context, head Head) {
-	l, err := p.store().List(ctx, HistoryKind, "")
+	l, err := p.store().List(ctx, release.HistoryKind, "")
 	if err != nil || len(l.Items) <= keepReleases {
 		return
 	}
@@ -293,9 +284,9 @@
 	}
 	for _, o := range old {
 		for _, hash := range headOf(o).Chunks {
-			p.drop(ctx, ChunkKind, hash, used)
+			p.drop(ctx, release.ChunkKind, hash, used)
 		}
-		p.drop(ctx, HistoryKind, o.Name, nil)
+		p.drop(ctx, release.HistoryKind, o.Name, nil)
 	}
 	_ = p.Editor.Trail.Trim(ctx)
 }
