Run faults twice in the matrix, and forget all that was kept of a gone node

Cause: the matrix had no fault that comes again, and a kill drawn twice in one cell would have started two processes of one name; what a warden keeps of a node stayed for good. Ruled out: nothing. Change: every third pair is one fault twice; a node that is long gone is dropped from the wards, the hearing and the connections.

--- a/internal/bench/matrix/fleet_test.go
+++ b/internal/bench/matrix/fleet_test.go
@@ -218,6 +218,13 @@
 	return nil
 }
 
+// node gives the process that runs under a node's name now.
+func (f *fleet) node(name string) *machine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[name]
+}
+
 func (f *fleet) objects() release.Set {
 	s := release.NewSet()
 	for _, d := range []string{"a", "b", "c"} {
--- a/internal/bench/matrix/matrix_test.go
+++ b/internal/bench/matrix/matrix_test.go
@@ -36,6 +36,7 @@
 // hold is how long a fault lasts: longer than a lease.
 const (
 	hold   = 2600 * time.Millisecond
+	soon   = 300 * time.Millisecond
 	settle = 14 * time.Second
 )
 
@@ -44,15 +45,20 @@
 // faults bring a mishap about on a fleet; role names the node that it meets. What is returned ends it.
 var faults = map[string]func(f *fleet, role string) func(){
 	"kill": func(f *fleet, role string) func() {
-		f.nodes[role].kill()
-		return func() { _ = f.startNode(role) }
+		m := f.node(role)
+		m.kill()
+		return func() {
+			if f.node(role) == m {
+				_ = f.startNode(role)
+			}
+		}
 	},
 	"freeze": func(f *fleet, role string) func() {
-		f.nodes[role].signal(syscall.SIGSTOP)
-		return func() { f.nodes[role].signal(syscall.SIGCONT) }
+		f.node(role).signal(syscall.SIGSTOP)
+		return func() { f.node(role).signal(syscall.SIGCONT) }
 	},
 	"cut": func(f *fleet, role string) func() {
-		m := f.nodes[role]
+		m := f.node(role)
 		m.gate.Set(gate.Cut)
 		m.platform.Set(gate.Cut)
 		return func() {
@@ -65,8 +71,8 @@
 		return func() { f.targetFaults(engine.Faults{}) }
 	},
 	"silent": func(f *fleet, role string) func() {
-		f.nodes[role].gate.Hush()
-		f.nodes[role].platform.Hush()
+		f.node(role).gate.Hush()
+		f.node(role).platform.Hush()
 		for _, m := range f.targets {
 			m.gate.Hush()
 		}
@@ -118,7 +124,9 @@
 	fault string
 	// second is another fault that comes a moment after the first, "" for none.
 	second string
-	role   string
+	// twice tells that the fault comes again soon after it has ended.
+	twice bool
+	role  string
 }
 
 func (c cell) name() string {
@@ -126,10 +134,14 @@
 	if c.second != "" {
 		name += "+" + c.second
 	}
+	if c.twice {
+		name += "+again"
+	}
 	return name + "/" + c.role
 }
 
-// cells chooses what is run: one step for each fault, or all, and pairs of faults by the seed.
+// cells chooses what is run: one step for each fault, or all, and pairs of faults by the seed; every third pair
+// is one fault that comes twice.
 func cells() []cell {
 	random := rand.New(rand.NewPCG(*seed, 3))
 	var list []cell
@@ -140,13 +152,17 @@
 			}
 		}
 	}
-	for range *pairs {
-		list = append(list, cell{
+	for i := range *pairs {
+		c := cell{
 			step:   steps[random.IntN(len(steps))],
 			fault:  faultNames[random.IntN(len(faultNames))],
 			second: faultNames[random.IntN(len(faultNames))],
 			role:   names[random.IntN(len(names))],
-		})
+		}
+		if i%3 == 2 {
+			c.second, c.twice = "", true
+		}
+		list = append(list, c)
 	}
 	return list
 }
@@ -169,7 +185,7 @@
 
 func TestMatrix(t *testing.T) {
 	list := cells()
-	t.Logf("%d of %d cells of one fault, %d of two, seed %d", len(list)-*pairs, len(steps)*len(faultNames), *pairs, *seed)
+	t.Logf("%d of %d cells of one fault, %d of two faults or one twice, seed %d", len(list)-*pairs, len(steps)*len(faultNames), *pairs, *seed)
 	for _, c := range list {
 		t.Run(c.name(), func(t *testing.T) {
 			t.Parallel()
@@ -198,6 +214,12 @@
 	}
 	time.Sleep(hold)
 	end()
+	if c.twice {
+		time.Sleep(soon)
+		again := faults[c.fault](f, c.role)
+		time.Sleep(hold)
+		again()
+	}
 	if c.step != "accepted" && c.fault != "slow" && c.second != "slow" && c.fault != "leaving" && c.second != "leaving" {
 		f.targetFaults(engine.Faults{})
 	}
@@ -329,10 +351,7 @@
 		call.Stream = true
 	}
 	client := &http.Client{Timeout: 8 * time.Second}
-	r.fleet.mu.Lock()
-	address := r.fleet.nodes[node].serve
-	r.fleet.mu.Unlock()
-	resp, err := client.Post("http://"+address+"/v1/pipelines/"+pool, "application/json", bytes.NewReader(mustJSON(call)))
+	resp, err := client.Post("http://"+r.fleet.node(node).serve+"/v1/pipelines/"+pool, "application/json", bytes.NewReader(mustJSON(call)))
 	if err != nil {
 		return caller.Reply{}
 	}
--- a/internal/fleet/node/hearing.go
+++ b/internal/fleet/node/hearing.go
@@ -55,6 +55,14 @@
 	h.places[datacentre] = now
 }
 
+// drop forgets a node that is long gone.
+func (h *hearing) drop(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.peers, name)
+	delete(h.told, name)
+}
+
 func (h *hearing) last(name string) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/fleet/node/membership.go
+++ b/internal/fleet/node/membership.go
@@ -236,6 +236,11 @@
 	next, past := n.table.Load().Prune(n.cfg.Now())
 	n.table.Store(next)
 	n.changes.Unlock()
+	for _, m := range past {
+		n.wards.drop(m.Name)
+		n.hearing.drop(m.Name)
+		n.conns.Suspect(m.Peer)
+	}
 	if !n.relays() {
 		return
 	}
--- a/internal/fleet/node/wards.go
+++ b/internal/fleet/node/wards.go
@@ -67,6 +67,17 @@
 	delete(w.watching, name)
 }
 
+// drop forgets a node that is long gone.
+func (w *wards) drop(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.watching, name)
+	delete(w.kept, name)
+	delete(w.ending, name)
+	delete(w.latest, name)
+	delete(w.sure, name)
+}
+
 func (w *wards) keeps(name string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
