Tell every write of a ledger holder apart

A rewrite of old segments whose answer was lost, and that could not be read back, left its segment in the place of the next batch; the holder, told apart only by writer and place, took that for its batch and granted claims that were never written. Ruled out: the test's own count; the clean-up's order of deletion; retries of settles. Change: each write has a nonce of its own, each opening a name of its own; a holder that has given the shard up flushes nothing more. Two tests: a second holder of one name (failed before), and a second write in the same place (fails with the nonce held still).

--- a/internal/bench/picture/picture.go
+++ b/internal/bench/picture/picture.go
@@ -1,6 +1,8 @@
 package picture
 
 import (
+	"image/color"
+
 	"github.com/ansel1/merry/v2"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -12,8 +14,12 @@
 const (
 	width  = 18 * vg.Centimeter
 	height = 8 * vg.Centimeter
+	// headroom leaves place for the legend above the highest point.
+	headroom = 1.3
 )
 
+var attainedColour = color.RGBA{R: 20, G: 90, B: 180, A: 255}
+
 // Draw writes offered and attained requests of each step into a file; its ending says the format.
 func Draw(path, title string, points []load.Point) error {
 	p := plot.New()
@@ -30,7 +36,11 @@
 		return merry.Prepend(err, "draw")
 	}
 	offered.Dashes = []vg.Length{vg.Points(3), vg.Points(3)}
+	attained.Color = attainedColour
+	attained.Width = vg.Points(1.5)
 	p.Add(plotter.NewGrid(), offered, attained)
+	p.Legend.Top = true
+	p.Y.Max *= headroom
 	p.Legend.Add("offered", offered)
 	p.Legend.Add("attained", attained)
 	return merry.Prepend(p.Save(width, height, path), "draw")
@@ -39,6 +49,10 @@
 func line(points []load.Point, y func(load.Point) int) (*plotter.Line, error) {
 	xy := make(plotter.XYs, 0, len(points))
 	for _, p := range points {
+		// After the last request only late answers come.
+		if p.Offered == 0 {
+			continue
+		}
 		xy = append(xy, plotter.XY{X: p.Second, Y: float64(y(p))})
 	}
 	return plotter.NewLine(xy)
--- a/internal/serving/ledger/clean.go
+++ b/internal/serving/ledger/clean.go
@@ -19,9 +19,9 @@
 	seq := h.seq + 1
 	h.mu.Unlock()
 	for _, part := range split(rows) {
-		won, err := h.create(ctx, seq, Segment{Writer: h.cfg.Writer, Nonce: seq, Rows: part})
+		won, err := h.create(ctx, seq, h.segment(part))
 		if err != nil {
-			// The write may have taken effect; the same segment is claimed or refused by the next flush.
+			// The write may have taken effect; whoever opens the shard next reads what is there.
 			h.setDown(true)
 			h.lose()
 			return
--- a/internal/serving/ledger/commit.go
+++ b/internal/serving/ledger/commit.go
@@ -8,6 +8,14 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 )
 
+// segment makes a segment that no other write of any holder is mistaken for.
+func (h *Holder) segment(rows []Row) Segment {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.nonce++
+	return Segment{Writer: h.cfg.Writer, Nonce: h.nonce, Rows: rows}
+}
+
 // create writes a segment; a lost answer is settled by reading it back. False means that another holder was first.
 func (h *Holder) create(ctx context.Context, seq uint64, s Segment) (bool, error) {
 	name := SegmentName(h.cfg.Shard, seq)
@@ -47,6 +55,9 @@
 			return
 		case <-h.wake:
 		}
+		if h.Lost() {
+			return
+		}
 		h.flush(ctx, 0)
 		if h.Lost() {
 			return
@@ -63,10 +74,11 @@
 		return
 	}
 	seq := h.seq + 1
-	s := Segment{Writer: h.cfg.Writer, Nonce: seq}
+	rows := make([]Row, 0, len(batch))
 	for _, op := range batch {
-		s.Rows = append(s.Rows, op.row)
+		rows = append(rows, op.row)
 	}
+	s := h.segment(rows)
 	for n := 1; ; n++ {
 		won, err := h.create(ctx, seq, s)
 		if err == nil {
--- a/internal/serving/ledger/holder.go
+++ b/internal/serving/ledger/holder.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -47,6 +49,7 @@
 	down    bool
 	lost    bool
 	writes  int64
+	nonce   uint64
 }
 
 type operation struct {
@@ -56,8 +59,12 @@
 	gone bool
 }
 
+// opens tells apart holders that one process opens under one name, even at the same moment.
+var opens atomic.Uint64
+
 // Open takes the shard over: it fences the former holder, reads the log and begins to serve.
 func Open(ctx context.Context, cfg HolderConfig) (*Holder, error) {
+	cfg.Writer = fmt.Sprintf("%s#%d", cfg.Writer, opens.Add(1))
 	h := &Holder{
 		cfg:      cfg,
 		segments: map[uint64][]string{},
@@ -73,7 +80,7 @@
 		if err := h.load(list); err != nil {
 			return nil, merry.Prependf(err, "open ledger shard %d", cfg.Shard)
 		}
-		won, err := h.create(ctx, h.seq+1, Segment{Writer: cfg.Writer, Nonce: h.seq + 1})
+		won, err := h.create(ctx, h.seq+1, h.segment(nil))
 		if err != nil {
 			return nil, merry.Prependf(err, "open ledger shard %d", cfg.Shard)
 		}
--- a/internal/serving/ledger/holder_test.go
+++ b/internal/serving/ledger/holder_test.go
@@ -85,6 +85,40 @@
 	})
 }
 
+// TestWritesOfOneHolderAreToldApart writes two segments in one place: a retry of the first is the holder's own,
+// the second is not, though holder and place are the same.
+func TestWritesOfOneHolderAreToldApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := open(t, store.New(), "a")
+		first, second := h.segment([]Row{row("k", "r1")}), h.segment([]Row{row("k", "r2")})
+		for _, tt := range []struct {
+			name string
+			s    Segment
+			want bool
+		}{{"first", first, true}, {"its retry", first, true}, {"second", second, false}} {
+			if got, err := h.create(t.Context(), 9, tt.s); err != nil || got != tt.want {
+				t.Errorf("%s: got %t %v, want %t", tt.name, got, err, tt.want)
+			}
+		}
+	})
+}
+
+// TestHoldersOfOneNameAreToldApart opens a shard twice under one name at one moment: the first must not take the
+// second's segments for its own.
+func TestHoldersOfOneNameAreToldApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		old := open(t, s, "a")
+		fresh := open(t, s, "a")
+		if got := fresh.Claim(t.Context(), row("k", "r1")); got.Verdict != Granted {
+			t.Errorf("got %s at the second, want %s", got.Verdict, Granted)
+		}
+		if got := old.Claim(t.Context(), row("k", "r2")); got.Verdict != Moved {
+			t.Errorf("got %s at the first, want %s", got.Verdict, Moved)
+		}
+	})
+}
+
 func TestHolderSettlesLostAnswersAndOutages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New()
--- a/internal/serving/ledger/segment.go
+++ b/internal/serving/ledger/segment.go
@@ -16,7 +16,7 @@
 
 // Segment is one object of a shard's log. It is created only if absent, which fences former holders.
 type Segment struct {
-	// Writer names the holder, and Nonce the write.
+	// Writer names the holder, and Nonce the write among all of that holder.
 	Writer string `json:"writer"`
 	Nonce  uint64 `json:"nonce"`
 	Rows   []Row  `json:"rows,omitempty"`
