Trust a cancel only from a process that can know, and keep a redirect's target

An owner that had started anew under its address answered a cancel with not sent, knowing nothing of what its predecessor had sent: a call that may not be repeated could then be sent again, or be called notrun. An attempt was forgotten after a minute, though deadlines go up to thirty. A redirect to a target's holder was followed with another target drawn at random. Ruled out: the owner's generation in the call (an entry that got no event never learned it). Change: the answer to a cancel says how long its process has run, and not sent counts only if that is longer than the attempt; attempts are remembered until a minute past their deadline; a redirect keeps its target. A counter that nobody read is gone.

--- a/internal/fleet/node/ledgers.go
+++ b/internal/fleet/node/ledgers.go
@@ -241,8 +241,8 @@
 }
 
 // Cancel gives an attempt up at a node and tells whether it had been sent.
-func (f fleetView) Cancel(ctx context.Context, node string, w *peerpb.WorkRequest) (bool, error) {
-	return f.callCancel(ctx, node, w)
+func (f fleetView) Cancel(ctx context.Context, node string, w *peerpb.WorkRequest, began time.Time) (bool, error) {
+	return f.callCancel(ctx, node, w, began)
 }
 
 // Claim asks the shard's holder for the right to run.
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -56,6 +56,7 @@
 	peerpb.UnimplementedPeerServer
 
 	cfg     Config
+	born    time.Time
 	terms   lease.Terms
 	log     journal.Part
 	meter   *meter.Meter
@@ -111,6 +112,7 @@
 	now := cfg.Now()
 	n := &Node{
 		cfg:     cfg,
+		born:    now,
 		terms:   lease.Terms{Length: s.Timing.Lease.Duration(), DriftPercent: s.Timing.Drift},
 		log:     journal.NewPart(cfg.Log, "node").With("node", s.Name),
 		meter:   meter.New(),
--- a/internal/fleet/node/work.go
+++ b/internal/fleet/node/work.go
@@ -53,7 +53,7 @@
 }
 
 // callCancel gives an attempt up at the node that has it.
-func (n *Node) callCancel(ctx context.Context, name string, w *peerpb.WorkRequest) (bool, error) {
+func (n *Node) callCancel(ctx context.Context, name string, w *peerpb.WorkRequest, began time.Time) (bool, error) {
 	if name == n.Name() {
 		return n.owner.Cancel(attemptID(w)), nil
 	}
@@ -69,12 +69,28 @@
 	if err != nil {
 		return false, err
 	}
+	return answeredCancel(reply, n.cfg.Now().Sub(began))
+}
+
+// upMargin is more than two clocks differ by over the time of an attempt and a call.
+const upMargin = 200 * time.Millisecond
+
+// answeredCancel reads a reply that came so long after the attempt began: a process that started since
+// knows nothing of what the one before it sent.
+func answeredCancel(reply *peerpb.CancelReply, since time.Duration) (sent bool, err error) {
+	up := time.Duration(reply.UpUs) * time.Microsecond
+	if !reply.Sent && up < since+since/50+upMargin {
+		return false, errors.New("the owner has started anew since the attempt began")
+	}
 	return reply.Sent, nil
 }
 
 // Cancel gives a peer's attempt up and says whether it had been sent.
 func (n *Node) Cancel(_ context.Context, r *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
-	return &peerpb.CancelReply{Sent: n.owner.Cancel(request.AttemptID(r.Request, r.Stage, r.Attempt))}, nil
+	return &peerpb.CancelReply{
+		Sent: n.owner.Cancel(request.AttemptID(r.Request, r.Stage, r.Attempt)),
+		UpUs: n.cfg.Now().Sub(n.born).Microseconds(),
+	}, nil
 }
 
 // Work serves a peer's attempt.
--- a/internal/fleet/owner/attempts.go
+++ b/internal/fleet/owner/attempts.go
@@ -6,6 +6,7 @@
 	"time"
 )
 
+// attemptMemory is how long an attempt is remembered after it is surely over.
 const attemptMemory = time.Minute
 
 type attemptState string
@@ -19,7 +20,7 @@
 type attempt struct {
 	state attemptState
 	stop  context.CancelFunc
-	at    time.Time
+	until time.Time
 }
 
 // attempts remembers what became of each attempt, so that a cancel has a sure answer.
@@ -32,14 +33,14 @@
 func newAttempts() *attempts { return &attempts{known: map[string]*attempt{}} }
 
 // enter notes a new attempt; false if it was cancelled before it came, or has come before.
-func (a *attempts) enter(now time.Time, id string, stop context.CancelFunc) bool {
+func (a *attempts) enter(now time.Time, id string, deadline time.Time, stop context.CancelFunc) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.prune(now)
 	if _, ok := a.known[id]; ok {
 		return false
 	}
-	a.known[id] = &attempt{state: stateWaiting, stop: stop, at: now}
+	a.known[id] = &attempt{state: stateWaiting, stop: stop, until: deadline.Add(attemptMemory)}
 	return true
 }
 
@@ -70,7 +71,7 @@
 	defer a.mu.Unlock()
 	t := a.known[id]
 	if t == nil {
-		a.known[id] = &attempt{state: stateCancelled, at: now}
+		a.known[id] = &attempt{state: stateCancelled, until: now.Add(attemptMemory)}
 		return false
 	}
 	if t.stop != nil {
@@ -89,7 +90,7 @@
 	}
 	a.pruned = now
 	for id, t := range a.known {
-		if now.Sub(t.at) > attemptMemory {
+		if now.After(t.until) {
 			delete(a.known, id)
 		}
 	}
--- a/internal/fleet/owner/owner.go
+++ b/internal/fleet/owner/owner.go
@@ -68,7 +68,6 @@
 	mu       sync.Mutex
 	stations atomic.Pointer[map[string]*station]
 	attempts *attempts
-	sends    atomic.Int64
 }
 
 // New makes an owner of nothing.
@@ -78,9 +77,6 @@
 	return o
 }
 
-// Sends is how many attempts were sent to targets.
-func (o *Owner) Sends() int64 { return o.sends.Load() }
-
 func (o *Owner) station(name string) *station { return (*o.stations.Load())[name] }
 
 // change swaps in a changed copy of the stations.
@@ -183,7 +179,7 @@
 func (o *Owner) Work(ctx context.Context, t Task, part func(n uint64, data []byte) error) End {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	if !o.attempts.enter(o.cfg.Now(), t.Job.ID, stop) {
+	if !o.attempts.enter(o.cfg.Now(), t.Job.ID, t.Deadline, stop) {
 		return Declined{Refuse: Refuse{Reason: outcome.Cancelled, Text: "attempt was cancelled before it came"}}
 	}
 	s := o.station(t.Target)
@@ -269,7 +265,6 @@
 		now := o.cfg.Now()
 		s.update(now, o.cfg.Leased(now), func(d *Desk) { d.Booted(boot) })
 	}
-	o.sends.Add(1)
 	result := o.cfg.Backend.Run(ctx, t.Address, a, part)
 	now := o.cfg.Now()
 	cost := now.Sub(started)
--- a/internal/serving/entry/entry.go
+++ b/internal/serving/entry/entry.go
@@ -28,8 +28,9 @@
 	Candidates(pool string) []Candidate
 	// Work runs one attempt at a node and hands each event to on.
 	Work(ctx context.Context, node string, w *peerpb.WorkRequest, on func(*peerpb.WorkEvent) error) error
-	// Cancel gives an attempt up at a node and tells whether it had been sent.
-	Cancel(ctx context.Context, node string, w *peerpb.WorkRequest) (sent bool, err error)
+	// Cancel gives an attempt up at a node and tells whether it had been sent; it fails if the process that
+	// answers has started since began, since it cannot know.
+	Cancel(ctx context.Context, node string, w *peerpb.WorkRequest, began time.Time) (sent bool, err error)
 	// Claim, Settle and Find reach the holder of a key's ledger shard.
 	Claim(ctx context.Context, row ledger.Row, remaining time.Duration) ledger.Answer
 	Settle(ctx context.Context, key, request string, state ledger.State, body []byte, wait time.Duration) ledger.Answer
--- a/internal/serving/entry/stage.go
+++ b/internal/serving/entry/stage.go
@@ -81,26 +81,26 @@
 	retries.Requested()
 	tried := map[string]bool{}
 	looks, repeats := 0, 0
-	holder := ""
+	// moved is a target with the holder that its former owner named.
+	var moved *Candidate
 	last := declined{reason: outcome.NoTarget, text: "pool " + pool + " has no target that takes work", retry: minRetry}
 	for {
-		c, ok := r.pick(tried, holder)
+		c, ok := r.pick(tried, moved)
 		if !ok || looks >= maxLooks {
 			if end, over := r.pause(ctx, last); over {
 				return end
 			}
-			tried, looks, holder = map[string]bool{}, 0, ""
+			tried, looks, moved = map[string]bool{}, 0, nil
 			continue
 		}
-		holder = ""
+		moved = nil
 		end := r.attempt(ctx, c)
 		switch end := end.(type) {
 		case declined:
 			looks++
 			last = r.worse(last, end)
 			if end.holder != "" && end.holder != c.Owner {
-				holder = end.holder
-				tried = without(tried, c.Target)
+				moved = &Candidate{Target: c.Target, Owner: end.holder}
 				continue
 			}
 			tried[c.Target] = true
@@ -119,11 +119,6 @@
 	}
 }
 
-func without(tried map[string]bool, target string) map[string]bool {
-	delete(tried, target)
-	return tried
-}
-
 // worse keeps the refusal that tells the caller more: an overload is kept over a missing owner.
 func (r *stageRun) worse(a, b declined) declined {
 	if a.reason == outcome.Overload && b.reason == outcome.NoTarget {
@@ -132,13 +127,13 @@
 	return b
 }
 
-func (r *stageRun) pick(tried map[string]bool, holder string) (Candidate, bool) {
-	e := r.entry
-	c, ok := e.choice.Pick(e.cfg.Now(), e.cfg.Fleet.Candidates(r.stage().Pool), tried, e.cfg.Pick)
-	if ok && holder != "" {
-		c.Owner = holder
+// pick follows a redirect, or chooses among the targets that were not tried.
+func (r *stageRun) pick(tried map[string]bool, moved *Candidate) (Candidate, bool) {
+	if moved != nil {
+		return *moved, true
 	}
-	return c, ok
+	e := r.entry
+	return e.choice.Pick(e.cfg.Now(), e.cfg.Fleet.Candidates(r.stage().Pool), tried, e.cfg.Pick)
 }
 
 // pause waits a moment where targets change hands; a refusal for any other reason is final.
@@ -189,7 +184,7 @@
 	if end != nil {
 		return end
 	}
-	return r.unclear(c.Owner, w, err)
+	return r.unclear(c.Owner, w, now, err)
 }
 
 // after is how many events of a streamed last stage are there already.
@@ -243,7 +238,7 @@
 }
 
 // unclear settles an attempt whose owner went silent: only the owner's own word makes it not sent.
-func (r *stageRun) unclear(owner string, w *peerpb.WorkRequest, err error) stageEnd {
+func (r *stageRun) unclear(owner string, w *peerpb.WorkRequest, began time.Time, err error) stageEnd {
 	var never *NotSent
 	if errors.As(err, &never) {
 		return declined{reason: outcome.NoTarget, text: never.Error(), retry: minRetry}
@@ -252,10 +247,10 @@
 	defer cancel()
 	if r.stage().Repeat == stage.May && r.timeUp() == outcome.Deadline {
 		// The caller gets its answer now; the owner is told in its own time.
-		go r.cancelLater(owner, w)
+		go r.cancelLater(owner, w, began)
 		return broken{reason: outcome.Deadline, text: "the deadline passed"}
 	}
-	sent, cancelErr := r.entry.cfg.Fleet.Cancel(ctx, owner, w)
+	sent, cancelErr := r.entry.cfg.Fleet.Cancel(ctx, owner, w, began)
 	switch {
 	case cancelErr == nil && !sent:
 		return declined{reason: r.timeUp(), text: "the attempt was given up before it was sent", retry: minRetry}
@@ -266,10 +261,10 @@
 	}
 }
 
-func (r *stageRun) cancelLater(owner string, w *peerpb.WorkRequest) {
+func (r *stageRun) cancelLater(owner string, w *peerpb.WorkRequest, began time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	_, _ = r.entry.cfg.Fleet.Cancel(ctx, owner, w)
+	_, _ = r.entry.cfg.Fleet.Cancel(ctx, owner, w, began)
 }
 
 // timeUp is the reason for an attempt that ended without a word.
