Start a killed node again at its own addresses in the matrix

Cause: a killed node came back on new ports, so the matrix could not meet a process that answers in the place of the one before it. Ruled out: nothing. Change: addresses and gates belong to a node's name.

--- a/internal/bench/matrix/fleet_test.go
+++ b/internal/bench/matrix/fleet_test.go
@@ -193,31 +193,42 @@
 `
 
 func (f *fleet) startNode(name string) error {
-	caller, peer := port(), port()
-	g, err := gate.New(peer)
-	if err != nil {
-		return err
-	}
-	p, err := gate.New(f.platform.serve)
-	if err != nil {
-		return err
-	}
-	file := filepath.Join(f.dir, name+".toml")
-	text := fmt.Sprintf(nodeSettings, name, name[:1], caller, peer, g.Address(), p.Address())
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		return err
+	old := f.node(name)
+	if old == nil {
+		var err error
+		if old, err = f.place(name); err != nil {
+			return err
+		}
 	}
-	m, err := run(name, f.log(name), product, "serve", "--settings", file)
+	m, err := run(name, f.log(name), product, "serve", "--settings", f.settings(name))
 	if err != nil {
 		return err
 	}
-	m.serve, m.gate, m.platform = caller, g, p
+	// A node that starts again has the addresses of the process before it, as a replaced VM may.
+	m.serve, m.gate, m.platform = old.serve, old.gate, old.platform
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.nodes[name] = m
 	return nil
 }
 
+func (f *fleet) settings(name string) string { return filepath.Join(f.dir, name+".toml") }
+
+// place gives a node its addresses and writes its settings.
+func (f *fleet) place(name string) (*machine, error) {
+	caller, peer := port(), port()
+	g, err := gate.New(peer)
+	if err != nil {
+		return nil, err
+	}
+	p, err := gate.New(f.platform.serve)
+	if err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf(nodeSettings, name, name[:1], caller, peer, g.Address(), p.Address())
+	return &machine{serve: caller, gate: g, platform: p}, os.WriteFile(f.settings(name), []byte(text), 0o600)
+}
+
 // node gives the process that runs under a node's name now.
 func (f *fleet) node(name string) *machine {
 	f.mu.Lock()
