Run on the users' platform: a thin path from callers to targets

Cause: nothing of the program ran on the users' platform, whose callers and targets speak byte-exact HTTP/1.1, whose routes need stages made in batches, and whose configuration and fleet lie in a store of its own.

Change: platform/ translates settings, store, configuration, headers and the calls of stage targets. internal/wire/gateway takes requests, link sends them to targets unchanged, desk gives each stage service one node that fills the calls of its targets, with the decisions in serving/batch, plan and placing. deployment follows the store and keeps the fleet's picture.

Ruled out: the standard HTTP client towards targets (rewrites request targets, drops connections on which an earlier answer comes twice); each entry calling stage targets by itself (each piece in a call of its own needs 2 to 19 times what there is).

--- a/cmd/lacewingdrift/serve.go
+++ b/cmd/lacewingdrift/serve.go
@@ -21,17 +21,22 @@
 The settings file says who the node is, where it listens and where the platform
 is; everything else comes from the platform. SIGTERM is a planned stop: the node
 turns not ready, hands over what it owns, finishes what runs, and exits with 0. A
-second signal ends it at once.`
+second signal ends it at once.
+
+With --platform the node runs on the users' platform: the environment variable
+LACEWINGDRIFT_NODE_FILE names the settings file that the platform provides, and
+routes, services, teams and targets come from the platform's store.`
 
 func serveCommand() *cobra.Command {
 	var file string
-	var print bool
+	var print, platform bool
 	c := &cobra.Command{
 		Use:   "serve --settings FILE",
 		Short: "Run one node",
 		Long:  serveUsage,
 		Example: `  lacewingdrift serve --settings node.toml
-  lacewingdrift serve --print-settings`,
+  lacewingdrift serve --print-settings
+  lacewingdrift serve --platform`,
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if print {
@@ -39,6 +44,9 @@
 				fmt.Fprint(c.OutOrStdout(), text)
 				return err
 			}
+			if platform {
+				return servePlatform()
+			}
 			s, err := settings.Read(file)
 			if err != nil {
 				return err
@@ -47,6 +55,7 @@
 		},
 	}
 	c.Flags().StringVar(&file, "settings", "lacewingdrift.toml", "the node's settings file")
+	c.Flags().BoolVar(&platform, "platform", false, "run on the users' platform, by the settings file that it provides")
 	c.Flags().BoolVar(&print, "print-settings", false, "print the defaults and exit")
 	return c
 }
--- /dev/null
+++ b/internal/fleet/roster/roster.go
@@ -0,0 +1,203 @@
+package roster
+
+import (
+	"maps"
+	"sort"
+	"time"
+)
+
+// State is what a target says of itself.
+type State string
+
+// The states of a target.
+const (
+	Ready    State = "ready"
+	Draining State = "draining"
+)
+
+// Target is one running back end.
+type Target struct {
+	ID         string
+	Service    string
+	Address    string
+	Datacentre string
+	State      State
+	Slots      int
+	// Born is the start of this run of the target, as it tells it.
+	Born int64
+	// Version is that of the entry that this was read from.
+	Version uint64
+	// ColdUntil is when the target is warm, by the clock of this node.
+	ColdUntil time.Time
+}
+
+// Cold tells whether the target is cold at now.
+func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
+
+// Node is one process of the system.
+type Node struct {
+	Name       string
+	Address    string
+	Datacentre string
+	// Born is the Unix millisecond of the process's start.
+	Born int64
+}
+
+// Roster is an immutable picture of the fleet.
+type Roster struct {
+	targets map[string]Target
+	// lapsed holds the targets whose entry is gone but may come back.
+	lapsed   map[string]time.Time
+	out      map[string]bool
+	nodes    map[string]Node
+	services map[string][]Target
+	names    []string
+}
+
+// New is a roster of nothing.
+func New() *Roster { return (&Roster{}).built() }
+
+func (r *Roster) built() *Roster {
+	r.services = map[string][]Target{}
+	for _, t := range r.targets {
+		if t.State == Ready && !r.out[t.Datacentre] {
+			r.services[t.Service] = append(r.services[t.Service], t)
+		}
+	}
+	for _, list := range r.services {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	r.names = make([]string, 0, len(r.nodes))
+	for n := range r.nodes {
+		r.names = append(r.names, n)
+	}
+	sort.Strings(r.names)
+	return r
+}
+
+func (r *Roster) copy() *Roster {
+	return &Roster{targets: maps.Clone(r.targets), lapsed: maps.Clone(r.lapsed), out: r.out, nodes: r.nodes}
+}
+
+// WithTargets gives the roster with exactly these targets. An entry that has not changed keeps its cold time, which
+// counts from when it was first seen. Known targets that are missing stay until hold, if that is not zero.
+func (r *Roster) WithTargets(list []Target, hold time.Time) *Roster {
+	n := r.copy()
+	n.targets = make(map[string]Target, len(list))
+	n.lapsed = map[string]time.Time{}
+	for _, t := range list {
+		if before, ok := r.targets[t.ID]; ok && before.Version == t.Version {
+			t = before
+		}
+		n.targets[t.ID] = t
+	}
+	if hold.IsZero() {
+		return n.built()
+	}
+	for id, t := range r.targets {
+		if _, ok := n.targets[id]; !ok && t.State == Ready {
+			n.targets[id] = t
+			n.lapsed[id] = hold
+		}
+	}
+	return n.built()
+}
+
+// WithTarget gives the roster after a target was added or has changed.
+func (r *Roster) WithTarget(t Target) *Roster {
+	n := r.copy()
+	if n.targets == nil {
+		n.targets = map[string]Target{}
+	}
+	n.targets[t.ID] = t
+	delete(n.lapsed, t.ID)
+	return n.built()
+}
+
+// WithLapsed keeps a target in use until a time though its entry is gone: the entry may have ended with the
+// platform's store, not with the target.
+func (r *Roster) WithLapsed(id string, until time.Time) *Roster {
+	n := r.copy()
+	if n.lapsed == nil {
+		n.lapsed = map[string]time.Time{}
+	}
+	n.lapsed[id] = until
+	return n.built()
+}
+
+// WithoutLapsed drops the lapsed targets whose time is over at now.
+func (r *Roster) WithoutLapsed(now time.Time) *Roster {
+	n := r.copy()
+	for id, until := range n.lapsed {
+		if !now.Before(until) {
+			delete(n.targets, id)
+			delete(n.lapsed, id)
+		}
+	}
+	return n.built()
+}
+
+// WithoutTarget gives the roster after a target left.
+func (r *Roster) WithoutTarget(id string) *Roster {
+	n := r.copy()
+	delete(n.targets, id)
+	delete(n.lapsed, id)
+	return n.built()
+}
+
+// WithOut gives the roster with exactly these data centres taken out.
+func (r *Roster) WithOut(datacentres []string) *Roster {
+	n := r.copy()
+	n.out = map[string]bool{}
+	for _, d := range datacentres {
+		n.out[d] = true
+	}
+	return n.built()
+}
+
+// WithNodes gives the roster with exactly these nodes.
+func (r *Roster) WithNodes(list []Node) *Roster {
+	n := r.copy()
+	n.nodes = map[string]Node{}
+	for _, x := range list {
+		n.nodes[x.Name] = x
+	}
+	return n.built()
+}
+
+// Usable lists the targets of a service that may be sent work, by their ids.
+func (r *Roster) Usable(service string) []Target { return r.services[service] }
+
+// Target gives a target by its id, whether or not it may be sent work.
+func (r *Roster) Target(id string) (Target, bool) {
+	t, ok := r.targets[id]
+	return t, ok
+}
+
+// MayUse tells whether a target may be sent work still.
+func (r *Roster) MayUse(id string) bool {
+	t, ok := r.targets[id]
+	return ok && t.State == Ready && !r.out[t.Datacentre]
+}
+
+// Targets is the number of known targets.
+func (r *Roster) Targets() int { return len(r.targets) }
+
+// Out lists the data centres that are taken out.
+func (r *Roster) Out() []string {
+	list := make([]string, 0, len(r.out))
+	for d := range r.out {
+		list = append(list, d)
+	}
+	sort.Strings(list)
+	return list
+}
+
+// Nodes lists the names of the nodes in order.
+func (r *Roster) Nodes() []string { return r.names }
+
+// Node gives a node by its name.
+func (r *Roster) Node(name string) (Node, bool) {
+	n, ok := r.nodes[name]
+	return n, ok
+}
--- /dev/null
+++ b/internal/serving/batch/queue.go
@@ -0,0 +1,136 @@
+package batch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
+)
+
+// Piece is one unit of a stage that waits for a target.
+type Piece struct {
+	// Group numbers the pieces of one stage of one request.
+	Group   uint64
+	Request string
+	Stage   int
+	Segment int
+	Key     string
+	Inputs  []string
+	Bytes   int64
+	// Priority is 0 for the most urgent.
+	Priority int
+	// Prompt is the latest start of the call with which the request still meets its aim.
+	Prompt time.Time
+	// Last is the latest start of the call with which the request still meets its deadline.
+	Last time.Time
+	// Home is the data centre in which the result is wanted, "" for any.
+	Home string
+	// Tries is how many calls the piece has been in.
+	Tries int
+}
+
+// Queue is the pieces that wait for the targets of one service.
+type Queue struct {
+	pieces []Piece
+}
+
+// Len is the number of waiting pieces.
+func (q *Queue) Len() int { return len(q.pieces) }
+
+// Add appends pieces.
+func (q *Queue) Add(p ...Piece) { q.pieces = append(q.pieces, p...) }
+
+// Drop removes the pieces of a group and gives their number.
+func (q *Queue) Drop(group uint64) int {
+	kept := q.pieces[:0]
+	for _, p := range q.pieces {
+		if p.Group != group {
+			kept = append(kept, p)
+		}
+	}
+	n := len(q.pieces) - len(kept)
+	q.pieces = kept
+	return n
+}
+
+// Expire removes and gives the pieces that cannot end in time even if their call began at now.
+func (q *Queue) Expire(now time.Time) []Piece {
+	var late []Piece
+	kept := q.pieces[:0]
+	for _, p := range q.pieces {
+		if now.After(p.Last) {
+			late = append(late, p)
+			continue
+		}
+		kept = append(kept, p)
+	}
+	q.pieces = kept
+	return late
+}
+
+// Take removes and gives the pieces of the next call: at most size of them, whose results fit into room bytes.
+//
+// It answers a burst in which more is asked for than the targets can do. Pieces of requests that can still meet
+// their aim go first, by priority and then by the time that is left; those that are late already fill the call
+// up, so that no time is spent on them while others can still be on time.
+func (q *Queue) Take(now time.Time, size int, room int64, home string) []Piece {
+	sort.SliceStable(q.pieces, func(i, j int) bool { return before(q.pieces[i], q.pieces[j], now, home) })
+	var taken []Piece
+	kept := q.pieces[:0]
+	for _, p := range q.pieces {
+		if len(taken) < size && p.Bytes <= room {
+			taken = append(taken, p)
+			room -= p.Bytes
+			continue
+		}
+		kept = append(kept, p)
+	}
+	q.pieces = kept
+	return taken
+}
+
+// before orders two waiting pieces for a target in the data centre home.
+func before(a, b Piece, now time.Time, home string) bool {
+	if late := now.After(a.Prompt); late != now.After(b.Prompt) {
+		return !late
+	}
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	if !a.Prompt.Equal(b.Prompt) {
+		return a.Prompt.Before(b.Prompt)
+	}
+	return a.Home == home && b.Home != home
+}
+
+// Start estimates when the last of n more pieces of a priority would begin, given when each target is free.
+func (q *Queue) Start(now time.Time, n, priority int, b route.Batch, free []time.Time) (time.Time, bool) {
+	if len(free) == 0 || b.Size == 0 {
+		return time.Time{}, false
+	}
+	ahead := 0
+	for _, p := range q.pieces {
+		if p.Priority <= priority {
+			ahead++
+		}
+	}
+	at := make([]time.Time, len(free))
+	for i, f := range free {
+		at[i] = f
+		if f.Before(now) {
+			at[i] = now
+		}
+	}
+	start := now
+	for left := ahead + n; left > 0; left -= b.Size {
+		first := 0
+		for i := range at {
+			if at[i].Before(at[first]) {
+				first = i
+			}
+		}
+		start = at[first]
+		at[first] = start.Add(b.Took(b.Size))
+	}
+	return start, true
+}
--- /dev/null
+++ b/internal/serving/placing/placing.go
@@ -0,0 +1,93 @@
+package placing
+
+import (
+	"sort"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/placement"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
+)
+
+// Candidate is a target and what this node knows of it.
+type Candidate struct {
+	Target roster.Target
+	// Running is the number of requests that this node has there.
+	Running int
+	// Unread is the prompt tokens of this node's requests there that have not answered yet.
+	Unread int
+	// Avoid says that the target failed lately.
+	Avoid bool
+}
+
+// Ask is what is to be placed.
+type Ask struct {
+	// Affinity names the shared part of the prompt, "" for a request without one.
+	Affinity string
+	// Shared and Tokens are the tokens of the shared part and of the whole prompt.
+	Shared int
+	Tokens int
+	// Home is the data centre that is preferred among equals.
+	Home string
+}
+
+// crowd is how many tokens one running request counts for: its steps slow the prefill of others.
+const crowd = 120
+
+// Order lists candidates with the best first.
+//
+// It answers requests that share parts of their prompts, some parts much hotter than others. Each shared part has
+// its target by rendezvous hash, so that nodes agree without a word; a target on which more waits than the shared
+// part saves loses the request to the next one.
+func Order(now time.Time, ask Ask, list []Candidate) []Candidate {
+	if ask.Affinity == "" {
+		return byLoad(now, ask, list)
+	}
+	ids := make([]string, 0, len(list))
+	for _, c := range list {
+		ids = append(ids, c.Target.ID)
+	}
+	rank := make(map[string]int, len(ids))
+	for i, id := range placement.Rank(ask.Affinity, ids) {
+		rank[id] = i
+	}
+	cost := func(c Candidate) int {
+		n := c.Unread + crowd*c.Running + ask.Tokens
+		if rank[c.Target.ID] == 0 {
+			n -= ask.Shared
+		}
+		return n
+	}
+	sorted := append([]Candidate(nil), list...)
+	sort.SliceStable(sorted, func(i, j int) bool {
+		a, b := sorted[i], sorted[j]
+		if a.Avoid != b.Avoid {
+			return !a.Avoid
+		}
+		if ca, cb := a.Target.Cold(now), b.Target.Cold(now); ca != cb {
+			return !ca
+		}
+		if ca, cb := cost(a), cost(b); ca != cb {
+			return ca < cb
+		}
+		return rank[a.Target.ID] < rank[b.Target.ID]
+	})
+	return sorted
+}
+
+func byLoad(now time.Time, ask Ask, list []Candidate) []Candidate {
+	sorted := append([]Candidate(nil), list...)
+	sort.SliceStable(sorted, func(i, j int) bool {
+		a, b := sorted[i], sorted[j]
+		if a.Avoid != b.Avoid {
+			return !a.Avoid
+		}
+		if ca, cb := a.Target.Cold(now), b.Target.Cold(now); ca != cb {
+			return !ca
+		}
+		if a.Running != b.Running {
+			return a.Running < b.Running
+		}
+		return a.Target.Datacentre == ask.Home && b.Target.Datacentre != ask.Home
+	})
+	return sorted
+}
--- /dev/null
+++ b/internal/wire/desk/group.go
@@ -0,0 +1,61 @@
+package desk
+
+import (
+	"fmt"
+	"time"
+)
+
+// Group is the pieces of one stage of one request.
+type Group struct {
+	Service string
+	// Shard is the data centre whose targets are meant, "" for all.
+	Shard   string
+	Request string
+	Stage   int
+	Count   int
+	Key     string
+	Inputs  []string
+	// Bytes is the approximate size of one result.
+	Bytes int64
+	// Priority is 0 for the most urgent.
+	Priority int
+	// Prompt and Last are the latest starts of the call with which the request meets its aim and its deadline.
+	Prompt time.Time
+	Last   time.Time
+	// Home is the data centre in which the results are wanted, "" for any.
+	Home string
+}
+
+// Result is what became of one piece.
+type Result struct {
+	Handle     string
+	Datacentre string
+	Reason     Reason
+}
+
+// Reason says why a piece has no result.
+type Reason string
+
+// The reasons.
+const (
+	// Made is the reason of a piece that has a result.
+	Made Reason = ""
+	// Late pieces were not begun in time.
+	Late Reason = "late"
+	// Gone pieces lack a result of an earlier stage.
+	Gone Reason = "gone"
+	// Full means that the target had no space for the result.
+	Full Reason = "full"
+	// Failed pieces met an error of the target.
+	Failed Reason = "failed"
+)
+
+// Refused is the error of a group that is not queued since it cannot be done in time.
+type Refused struct {
+	// Wait is the expected wait before the group's call would start, 0 if it is not known.
+	Wait time.Duration
+	Why  string
+}
+
+// Error gives the reason and the wait.
+func (r *Refused) Error() string { return fmt.Sprintf("%s, expected wait %s", r.Why, r.Wait) }
--- /dev/null
+++ b/internal/wire/desk/switchboard.go
@@ -0,0 +1,267 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/placement"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/desk/deskpb"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/link"
+)
+
+const (
+	// shardFrom is the number of targets from which a service has a desk in each data centre, so that no one
+	// node carries the pieces of a large fleet.
+	shardFrom = 9
+	// ackTimeout is how long a desk may take to say that a group is queued: several round trips.
+	ackTimeout = 300 * time.Millisecond
+	// doneMargin is how long after the last useful moment a desk may stay without a word.
+	doneMargin = 300 * time.Millisecond
+	// shunFor is how long a node that did not answer is passed over at first; it doubles up to shunMax, so that
+	// the entry of a node that is gone for good costs little.
+	shunFor = 2 * time.Second
+	shunMax = 16 * time.Second
+	// maxDesks is how many desks are asked before the node does the work itself.
+	maxDesks = 2
+
+	peerDial     = 500 * time.Millisecond
+	minReconnect = 100 * time.Millisecond
+	maxReconnect = time.Second
+	freeCall     = time.Second
+)
+
+// Switchboard finds the desk of a service and passes groups to it.
+type Switchboard struct {
+	cfg   SwitchboardConfig
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+	shun  map[string]shun
+}
+
+// shun is how often a node did not answer in a row, and until when it is passed over.
+type shun struct {
+	fails int
+	until time.Time
+}
+
+// SwitchboardConfig is what a switchboard is made of.
+type SwitchboardConfig struct {
+	// Self is the name of this node.
+	Self   string
+	Desk   *Desk
+	Roster func() *roster.Roster
+	Log    logrus.FieldLogger
+	Now    func() time.Time
+}
+
+// NewSwitchboard makes a switchboard without connections.
+func NewSwitchboard(cfg SwitchboardConfig) *Switchboard {
+	return &Switchboard{cfg: cfg, conns: map[string]*grpc.ClientConn{}, shun: map[string]shun{}}
+}
+
+// Output is the results of a group and the node whose desk keeps them.
+type Output struct {
+	Node    string
+	Results []Result
+}
+
+// Shard gives the shard of a service that work from a data centre goes to.
+func Shard(r *roster.Roster, service, datacentre string) string {
+	list := r.Usable(service)
+	if len(list) < shardFrom {
+		return ""
+	}
+	for _, t := range list {
+		if t.Datacentre == datacentre {
+			return datacentre
+		}
+	}
+	return list[0].Datacentre
+}
+
+// desk gives the node whose desk fills the calls of a shard.
+func (s *Switchboard) desk(now time.Time, service, shard string) string {
+	r := s.cfg.Roster()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names, near []string
+	for _, n := range r.Nodes() {
+		if now.Before(s.shun[n].until) {
+			continue
+		}
+		names = append(names, n)
+		if x, _ := r.Node(n); x.Datacentre == shard {
+			near = append(near, n)
+		}
+	}
+	if len(near) > 0 {
+		names = near
+	}
+	if len(names) == 0 {
+		return s.cfg.Self
+	}
+	return placement.First(service+"@"+shard, names)
+}
+
+// Produce has a group made at its desk; it is done here if no desk answers.
+func (s *Switchboard) Produce(ctx context.Context, g Group) (Output, error) {
+	for range maxDesks {
+		now := s.cfg.Now()
+		name := s.desk(now, g.Service, g.Shard)
+		node, ok := s.cfg.Roster().Node(name)
+		if name == s.cfg.Self || !ok {
+			break
+		}
+		results, err := s.ask(ctx, now, node, g)
+		var r *Refused
+		if err == nil || errors.As(err, &r) {
+			s.found(node.Name)
+		}
+		if err == nil || errors.As(err, &r) || ctx.Err() != nil {
+			return Output{Node: name, Results: results}, err
+		}
+		s.lost(now, node, g, err)
+	}
+	results, err := s.cfg.Desk.Produce(ctx, g, func(time.Duration) {})
+	return Output{Node: s.cfg.Self, Results: results}, err
+}
+
+// found forgets the failures of a node that has answered.
+func (s *Switchboard) found(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.shun, name)
+}
+
+// lost passes a node over for a while.
+func (s *Switchboard) lost(now time.Time, node roster.Node, g Group, err error) {
+	s.mu.Lock()
+	x := s.shun[node.Name]
+	x.fails++
+	wait := min(shunMax, shunFor<<min(x.fails-1, 8))
+	x.until = now.Add(wait)
+	s.shun[node.Name] = x
+	conn := s.conns[node.Address]
+	delete(s.conns, node.Address)
+	s.mu.Unlock()
+	if conn != nil {
+		// Calls that still run on it may be alive; they get a moment to end.
+		time.AfterFunc(shunFor, func() { _ = conn.Close() })
+	}
+	s.cfg.Log.WithError(err).WithFields(logrus.Fields{
+		"request": g.Request, "service": g.Service, "node": node.Name, "shun_ms": wait.Milliseconds(),
+	}).Warn("desk: node did not answer, another one is asked")
+}
+
+func (s *Switchboard) client(address string) (deskpb.DeskClient, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conn, ok := s.conns[address]
+	if !ok {
+		dialer := link.Dialer(peerDial)
+		fresh, err := grpc.NewClient("passthrough:///"+address,
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithDisableServiceConfig(),
+			grpc.WithDisableRetry(),
+			grpc.WithIdleTimeout(0),
+			grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", a) }),
+			grpc.WithConnectParams(grpc.ConnectParams{
+				Backoff:           backoff.Config{BaseDelay: minReconnect, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnect},
+				MinConnectTimeout: peerDial,
+			}),
+		)
+		if err != nil {
+			return nil, merry.Prepend(err, "connect to node")
+		}
+		conn = fresh
+		s.conns[address] = conn
+	}
+	return deskpb.NewDeskClient(conn), nil
+}
+
+var errSilent = merry.Sentinel("node fell silent")
+
+// ask has a group made by another node.
+func (s *Switchboard) ask(ctx context.Context, now time.Time, node roster.Node, g Group) ([]Result, error) {
+	client, err := s.client(node.Address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(ackTimeout, func() { cancel(errSilent) })
+	defer silence.Stop()
+	stream, err := client.Produce(ctx, toMessage(now, g))
+	if err != nil {
+		return nil, err
+	}
+	for {
+		p, err := stream.Recv()
+		if err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				return nil, cause
+			}
+			return nil, err
+		}
+		switch state(p.State) {
+		case queued:
+			silence.Reset(g.Last.Sub(now) + doneMargin + s.longest(g.Service))
+		case refused:
+			return nil, &Refused{Wait: time.Duration(p.WaitUs) * time.Microsecond, Why: p.Results[0].Reason}
+		case done:
+			results := make([]Result, 0, len(p.Results))
+			for _, r := range p.Results {
+				results = append(results, Result{Handle: r.Handle, Datacentre: r.Datacentre, Reason: Reason(r.Reason)})
+			}
+			return results, nil
+		}
+	}
+}
+
+// longest is how long the last call of a group may run.
+func (s *Switchboard) longest(service string) time.Duration {
+	terms, _ := s.cfg.Desk.terms(service)
+	return time.Duration(overdueFactor * float64(terms.Took(terms.Size)))
+}
+
+// Free gives results up at the desk that keeps them.
+func (s *Switchboard) Free(node string, handles []string) {
+	if len(handles) == 0 {
+		return
+	}
+	x, ok := s.cfg.Roster().Node(node)
+	if node == s.cfg.Self || !ok {
+		s.cfg.Desk.Free(handles)
+		return
+	}
+	client, err := s.client(x.Address)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), freeCall)
+		defer cancel()
+		_, err = client.Free(ctx, &deskpb.Handles{Handles: handles})
+	}
+	if err != nil {
+		s.cfg.Log.WithError(err).WithField("node", node).Warn("desk: results are freed without their desk")
+		s.cfg.Desk.Free(handles)
+	}
+}
+
+// Close closes the connections to other nodes.
+func (s *Switchboard) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for a, c := range s.conns {
+		_ = c.Close()
+		delete(s.conns, a)
+	}
+}
--- /dev/null
+++ b/internal/wire/gateway/forward.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/chill"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/call"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/placing"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/link"
+)
+
+const (
+	// maxUnsent bounds the targets that are tried without a byte having been sent.
+	maxUnsent = 4
+	// moveShare is the part of the remaining time after which a repeatable request that has had no answer is
+	// moved to another target.
+	moveShare = 3
+)
+
+// errMoved ends a send that takes too long while another target may be tried.
+var errMoved = errors.New("target did not answer in time for another attempt")
+
+// step is what to do after one send.
+type step struct {
+	// out is set if the request has its outcome.
+	out *outcome
+	// last is the outcome if no further send is made.
+	last *outcome
+	// ran says that the target may have run the request.
+	ran bool
+	// counts says that the send counts against the attempts of the route.
+	counts bool
+}
+
+// forward sends a request to targets until one answers it.
+func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, j *job) *outcome {
+	tried := map[string]bool{}
+	s := &answer{w: w}
+	last := refusal("service has no target that may be used", retrySoon)
+	ran := false
+	for unsent := 0; unsent < maxUnsent; {
+		now := g.cfg.Now()
+		if r.Context().Err() != nil {
+			return &outcome{kind: gone, reason: "caller left", abort: true}
+		}
+		if ctx.Err() != nil {
+			return g.timedOut(s, ran)
+		}
+		if j.sends >= j.route.Attempts || (ran && !j.route.Repeatable()) {
+			return last
+		}
+		t, ok := g.place(now, j, tried)
+		if !ok {
+			return last
+		}
+		if j.sends > 0 && !g.Repeat(now, j.service.Name) {
+			g.loads.read(now, t.ID, j.Prompt.Input)
+			g.loads.end(now, t.ID, false)
+			last.reason += "; no budget for another attempt"
+			return last
+		}
+		tried[t.ID] = true
+		st := g.send(ctx, r, j, s, t)
+		if st.out != nil {
+			return st.out
+		}
+		last = st.last
+		if st.counts {
+			j.sends++
+		} else {
+			unsent++
+		}
+		ran = ran || st.ran
+		if ran && last.kind == refused {
+			last = failure(http.StatusBadGateway, last.reason)
+		}
+	}
+	return last
+}
+
+func (g *Gateway) timedOut(s *answer, ran bool) *outcome {
+	if s.begun {
+		return &outcome{kind: broken, reason: "time-out of the route", abort: true}
+	}
+	if ran {
+		return failure(http.StatusGatewayTimeout, "time-out of the route")
+	}
+	return refusal("time-out of the route before a send", retrySoon)
+}
+
+// place chooses a target and counts the request there.
+func (g *Gateway) place(now time.Time, j *job, tried map[string]bool) (roster.Target, bool) {
+	fleet := g.cfg.Roster()
+	ask := placing.Ask{Home: g.cfg.Datacentre, Tokens: j.Prompt.Input}
+	if j.route.Prompt {
+		ask.Affinity, ask.Shared = j.Prompt.Shared()
+	}
+	list := g.loads.candidates(now, fleet.Usable(j.service.Name), tried)
+	for _, c := range placing.Order(now, ask, list) {
+		share := 0
+		if c.Target.Cold(now) {
+			bound := j.service.ColdRate*g.cfg.Cold.Factor + g.cfg.Cold.Extra
+			share = chill.Share(c.Target.ID, g.cfg.Self, fleet.Nodes(), bound)
+			if j.service.ColdRate == 0 {
+				share = int(bound)
+			}
+		}
+		if g.loads.begin(now, c.Target, j.Prompt.Input, share) {
+			return c.Target, true
+		}
+	}
+	return roster.Target{}, false
+}
+
+// patience is how long a target may take to its answer's header before the request is moved to another one.
+func (g *Gateway) patience(now time.Time, j *job) time.Duration {
+	if !j.route.Repeatable() || j.sends+1 >= j.route.Attempts {
+		return 0
+	}
+	return max(j.route.Aim, j.end.Sub(now)/moveShare)
+}
+
+// send makes one attempt and passes the answer on.
+func (g *Gateway) send(ctx context.Context, r *http.Request, j *job, s *answer, t roster.Target) step {
+	started := g.cfg.Now()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	s.begins = nil
+	if p := g.patience(started, j); p > 0 {
+		move := time.AfterFunc(p, func() { cancel(errMoved) })
+		defer move.Stop()
+		s.begins = func() { move.Stop() }
+	}
+	after := j.After
+	if s.begun {
+		after = s.last
+	}
+	req := link.Request{
+		Method: j.Method, URI: j.URI, Host: j.Host, Body: j.Body,
+		Header: g.cfg.Dialect.Forward(j.Call, call.Sending{
+			Target: t.ID, Team: j.team.Name, Left: j.end.Sub(started) + answerMargin, Inputs: j.inputs, After: after, Priority: j.priority(),
+		}),
+		Foreign: func(h http.Header) bool { return g.cfg.Dialect.Mark(j.ID, 0, h).Foreign },
+	}
+	j.log["target"] = t.ID
+	unread := j.Prompt.Input
+	reading := func() {
+		g.loads.read(g.cfg.Now(), t.ID, unread)
+		unread = 0
+	}
+	defer reading()
+	a, err := g.cfg.Links.Send(ctx, t.Address, req)
+	if err != nil {
+		return g.unanswered(ctx, r, j, s, t, err)
+	}
+	defer a.Body.Close()
+	s.first = func() {
+		reading()
+		g.firstSeen(j, g.cfg.Now().Sub(started))
+		g.release(j)
+	}
+	mark := g.cfg.Dialect.Mark(j.ID, a.Status, a.Header)
+	st := g.judge(ctx, r, j, s, a, mark)
+	bad := st.out == nil || st.out.kind == broken
+	wait := g.loads.end(g.cfg.Now(), t.ID, bad && r.Context().Err() == nil)
+	if bad {
+		g.complain(j, t, a.Status, mark, st, wait)
+	}
+	return st
+}
+
+func (g *Gateway) complain(j *job, t roster.Target, status int, mark call.Mark, st step, wait time.Duration) {
+	reason := ""
+	if st.last != nil {
+		reason = st.last.reason
+	} else if st.out != nil {
+		reason = st.out.reason
+	}
+	g.cfg.Log.WithFields(logrus.Fields{
+		"request": j.ID, "target": t.ID, "status": status, "not_run": mark.NotRun, "sealed": mark.Sealed,
+		"reason": reason, "avoid_ms": wait.Milliseconds(),
+	}).Warn("gateway: attempt failed")
+}
+
+// unanswered settles a send that brought no answer.
+func (g *Gateway) unanswered(ctx context.Context, r *http.Request, j *job, s *answer, t roster.Target, err error) step {
+	now := g.cfg.Now()
+	left := r.Context().Err() != nil
+	wait := g.loads.end(now, t.ID, !left)
+	unsent := errors.Is(err, link.ErrUnsent)
+	if !left {
+		g.cfg.Links.Forget(t.Address)
+		g.cfg.Log.WithError(err).WithFields(logrus.Fields{
+			"request": j.ID, "target": t.ID, "sent": !unsent, "avoid_ms": wait.Milliseconds(),
+		}).Warn("gateway: attempt failed")
+	}
+	if left {
+		return step{out: &outcome{kind: gone, reason: "caller left", abort: true}}
+	}
+	if unsent {
+		return step{last: refusal("targets cannot be reached", retrySoon)}
+	}
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved) {
+		return step{out: g.timedOut(s, true)}
+	}
+	if s.begun {
+		return step{last: &outcome{kind: broken, reason: "stream was cut", abort: true}, ran: true, counts: true}
+	}
+	return step{last: failure(http.StatusBadGateway, "target gave no answer"), ran: true, counts: true}
+}
+
+// judge decides what an answer's header means and passes the answer on if it is to be.
+func (g *Gateway) judge(ctx context.Context, r *http.Request, j *job, s *answer, a *link.Answer, mark call.Mark) step {
+	if mark.InputGone {
+		drain(a)
+		out := refusal("a result was lost before the request had read it", retrySoon)
+		out.inputGone = true
+		return step{out: out}
+	}
+	if mark.NotRun {
+		drain(a)
+		return step{last: refusal("target did not run the request", retrySoon), counts: true}
+	}
+	success := a.Status >= 200 && a.Status < 300
+	if success && (!mark.Sealed || a.Header.Get("Content-Encoding") != "") {
+		return step{last: failure(http.StatusBadGateway, "answer is not the target's"), ran: true, counts: true}
+	}
+	if s.begun {
+		if !success {
+			return step{last: &outcome{kind: broken, reason: "stream was not resumed", abort: true}, ran: true, counts: true}
+		}
+		return s.stream(ctx, r, a, true)
+	}
+	again := j.sends+1 < j.route.Attempts && j.route.Repeatable()
+	if a.Status >= 500 && again {
+		kept, err := keep(a)
+		if err == nil {
+			return step{last: kept.outcome(s.w, j), ran: true, counts: true}
+		}
+		return step{last: failure(http.StatusBadGateway, "answer was cut"), ran: true, counts: true}
+	}
+	if j.route.Repeat == route.Stream && success {
+		return s.stream(ctx, r, a, j.route.Resumable)
+	}
+	kept, err := keep(a)
+	if err != nil {
+		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved) {
+			return step{out: g.timedOut(s, true)}
+		}
+		return step{last: failure(http.StatusBadGateway, "answer was cut"), ran: true, counts: true}
+	}
+	s.first()
+	return step{out: kept.send(s.w)}
+}
+
+// firstRest is the time to the first byte of a model's answer before one was measured.
+const firstRest = 150 * time.Millisecond
+
+// firstSeen takes the time from a send to the first byte of its answer into the average of the service.
+func (g *Gateway) firstSeen(j *job, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	key := "first " + j.service.Name
+	before, ok := g.waits[key]
+	if !ok {
+		before = took
+	}
+	g.waits[key] = before + (took-before)/8
+}
+
+// first is the usual time from a send to the first byte of an answer.
+func (g *Gateway) first(j *job) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if d, ok := g.waits["first "+j.service.Name]; ok {
+		return d
+	}
+	return firstRest
+}
--- /dev/null
+++ b/internal/wire/gateway/gateway.go
@@ -0,0 +1,248 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/budget"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/call"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/desk"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/link"
+)
+
+const (
+	// defaultBody bounds a body while the configuration names no limit, in bytes.
+	defaultBody = 4 << 20
+	// retrySoon is when to come back where a cause usually passes quickly, such as a node without configuration.
+	retrySoon = 300 * time.Millisecond
+	// answerMargin is kept from the time-out of a route for the answer's way.
+	answerMargin = 20 * time.Millisecond
+)
+
+// Dialect reads and writes the headers of the callers' and targets' protocol.
+type Dialect interface {
+	// Call reads a request but its body.
+	Call(now time.Time, r *http.Request) call.Call
+	// Forward gives the header for a target.
+	Forward(c call.Call, s call.Sending) http.Header
+	// Mark reads what an answer's header says about the call with an id.
+	Mark(id string, status int, h http.Header) call.Mark
+}
+
+// Meter counts what a gateway does.
+type Meter interface {
+	// Request counts a finished request by its route and outcome.
+	Request(pipeline, outcome, reason string, took time.Duration)
+	// Count adds to a counter.
+	Count(name string, n int64)
+}
+
+// Config is what a gateway is made of.
+type Config struct {
+	Self       string
+	Datacentre string
+	Dialect    Dialect
+	Links      *link.Pool
+	Desks      *desk.Switchboard
+	Table      func() *route.Table
+	Roster     func() *roster.Roster
+	Repeats    settings.Repeats
+	Cold       settings.Cold
+	Log        logrus.FieldLogger
+	Meter      Meter
+	Now        func() time.Time
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	cfg   Config
+	loads loads
+
+	mu       sync.Mutex
+	windows  map[string]*budget.Window
+	waits    map[string]time.Duration
+	closing  bool
+	deadline time.Time
+}
+
+// New makes a gateway.
+func New(cfg Config) *Gateway {
+	return &Gateway{cfg: cfg, loads: newLoads(), windows: map[string]*budget.Window{}, waits: map[string]time.Duration{}}
+}
+
+// Close makes the gateway refuse the streams that could not end before a planned stop does.
+func (g *Gateway) Close(now time.Time, grace time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closing = true
+	g.deadline = now.Add(grace)
+}
+
+func (g *Gateway) terms() budget.Terms {
+	r := g.cfg.Repeats
+	return budget.Terms{Ratio: r.Ratio, Extra: r.Extra, Window: r.Window}
+}
+
+func (g *Gateway) window(service string) *budget.Window {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w, ok := g.windows[service]
+	if !ok {
+		w = &budget.Window{}
+		g.windows[service] = w
+	}
+	return w
+}
+
+// Sent counts the first send of a request or piece to a service.
+func (g *Gateway) Sent(now time.Time, service string) { g.window(service).Requested(now, g.terms()) }
+
+// Repeat asks the budget of a service for one more send.
+func (g *Gateway) Repeat(now time.Time, service string) bool {
+	return g.window(service).Repeat(now, g.terms(), len(g.cfg.Roster().Nodes()))
+}
+
+// job is one request on its way.
+type job struct {
+	call.Call
+	table   *route.Table
+	route   route.Route
+	service route.Service
+	team    route.Team
+	// aim and end are when an answer is wanted, and when it must be final.
+	aim time.Time
+	end time.Time
+	// inputs are the results that the request needs, held those that are to be freed with it.
+	inputs []string
+	held   []held
+	sends  int
+	log    logrus.Fields
+}
+
+// held is results that one node's desk keeps.
+type held struct {
+	node    string
+	handles []string
+}
+
+// priority is 0 for the most urgent.
+func (j *job) priority() int {
+	if j.team.Ranked {
+		return j.team.Priority
+	}
+	return j.route.Priority
+}
+
+// ServeHTTP answers one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := g.cfg.Now()
+	j := &job{Call: g.cfg.Dialect.Call(now, r), table: g.cfg.Table(), log: logrus.Fields{}}
+	out := g.admit(w, r, j)
+	if out == nil {
+		out = g.serve(w, r, j)
+	}
+	out.write(w, g.cfg.Now())
+	g.report(j, out)
+	if out.abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// admit checks a request against the configuration in force and reads its body; nil lets it in.
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, j *job) *outcome {
+	if j.table == nil {
+		return refusal("no configuration yet", retrySoon)
+	}
+	var ok bool
+	if j.route, ok = j.table.Match(j.Host, j.Path); !ok {
+		return denial(http.StatusNotFound, "no route")
+	}
+	if j.table.Keyed() && !j.route.Public {
+		if j.team, ok = j.table.Team(j.Key); !ok {
+			return denial(http.StatusUnauthorized, "key is not known")
+		}
+	}
+	limit := j.table.Limits.Body
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return denial(http.StatusRequestEntityTooLarge, "body is too large")
+	}
+	if err != nil {
+		return &outcome{kind: gone, reason: "caller left while it sent its body", abort: true}
+	}
+	j.Body = body
+	g.times(j)
+	name := j.route.Pick(rand.Float64())
+	if j.service, ok = j.table.Service(name); !ok {
+		return refusal("service is not configured", retrySoon)
+	}
+	if g.late(j) {
+		return refusal("node is stopping", 0)
+	}
+	return nil
+}
+
+// times sets when an answer is wanted and when it must be final. A caller that has waited before says so by the
+// shorter time that it still waits.
+func (g *Gateway) times(j *job) {
+	wait := j.route.Timeout
+	before := time.Duration(0)
+	if j.Wait > 0 {
+		wait = min(wait, j.Wait)
+		g.mu.Lock()
+		longest := max(g.waits[j.route.Name], j.Wait)
+		g.waits[j.route.Name] = longest
+		g.mu.Unlock()
+		before = longest - j.Wait
+	}
+	j.end = j.Received.Add(wait - answerMargin)
+	j.aim = j.Received.Add(j.route.Aim - before)
+}
+
+// late tells whether a request would still run when a planned stop ends.
+func (g *Gateway) late(j *job) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.closing && j.route.Repeat == route.Stream && j.Received.Add(j.route.Timeout).After(g.deadline) &&
+		g.deadline.Sub(j.Received) < lastStream
+}
+
+// lastStream is how long before the end of a planned stop no more streams are begun.
+const lastStream = 4 * time.Second
+
+// serve runs the stages of a request and sends it to a target.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, j *job) *outcome {
+	ctx, cancel := context.WithDeadline(r.Context(), j.end)
+	defer cancel()
+	defer g.release(j)
+	g.Sent(j.Received, j.service.Name)
+	var out *outcome
+	for range maxChains {
+		if out = g.prepare(ctx, r, j); out != nil {
+			return out
+		}
+		out = g.forward(ctx, w, r, j)
+		if !out.inputGone {
+			return out
+		}
+		g.release(j)
+	}
+	return out
+}
+
+// maxChains is how often the stages of one request are run, if results are lost before the request has read them.
+const maxChains = 2
--- /dev/null
+++ b/internal/wire/gateway/stages.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/plan"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/desk"
+)
+
+// chain is the stages of one request while they run.
+type chain struct {
+	mu      sync.Mutex
+	results [][]desk.Result
+	err     error
+}
+
+// stageError is a stage that brought no results.
+type stageError struct {
+	reason desk.Reason
+	stage  int
+}
+
+func (e *stageError) Error() string { return fmt.Sprintf("stage %d: piece is %s", e.stage, e.reason) }
+
+// prepare runs the stages of a request; nil means that all results are there.
+func (g *Gateway) prepare(ctx context.Context, r *http.Request, j *job) *outcome {
+	j.inputs = nil
+	if len(j.route.Stages) == 0 {
+		return nil
+	}
+	started := g.cfg.Now()
+	shape := plan.Shape{Stages: j.route.Stages, Pieces: j.Pieces, Terms: func(service string) route.Batch {
+		s, _ := j.table.Service(service)
+		return s.Batch
+	}, Rest: g.first(j)}
+	tails := shape.Tails()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c := &chain{results: make([][]desk.Result, len(j.route.Stages))}
+	ready := make([]chan struct{}, len(j.route.Stages))
+	for i := range ready {
+		ready[i] = make(chan struct{})
+	}
+	var all sync.WaitGroup
+	for i := range j.route.Stages {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			defer close(ready[i])
+			if err := g.stage(ctx, j, c, i, ready, tails[i]); err != nil {
+				c.fail(err)
+				cancel()
+			}
+		}()
+	}
+	all.Wait()
+	j.log["stages_ms"] = g.cfg.Now().Sub(started).Milliseconds()
+	if c.err != nil {
+		return g.unprepared(r, j, c.err)
+	}
+	for _, i := range j.route.Last() {
+		for _, x := range c.results[i] {
+			j.inputs = append(j.inputs, x.Handle)
+		}
+	}
+	return nil
+}
+
+func (c *chain) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil {
+		c.err = err
+	}
+}
+
+// stage waits for the stages before it and has its pieces made.
+func (g *Gateway) stage(ctx context.Context, j *job, c *chain, i int, ready []chan struct{}, tail time.Duration) error {
+	s := j.route.Stages[i]
+	group := desk.Group{
+		Service: s.Service, Shard: desk.Shard(g.cfg.Roster(), s.Service, g.cfg.Datacentre), Request: j.ID, Stage: i,
+		Bytes: s.Bytes, Priority: j.priority(), Home: g.cfg.Datacentre, Prompt: j.aim.Add(-tail), Last: j.end.Add(-tail),
+	}
+	if i < len(j.Pieces) {
+		group.Count = j.Pieces[i]
+	}
+	for _, a := range s.After {
+		select {
+		case <-ready[a]:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		c.mu.Lock()
+		for _, x := range c.results[a] {
+			group.Inputs = append(group.Inputs, x.Handle)
+		}
+		c.mu.Unlock()
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if group.Count == 0 {
+		return nil
+	}
+	if len(group.Inputs) == 0 {
+		group.Key = j.PieceKey
+	}
+	out, err := g.cfg.Desks.Produce(ctx, group)
+	if err != nil {
+		return err
+	}
+	var missing error
+	var handles []string
+	for _, x := range out.Results {
+		if x.Reason != desk.Made {
+			missing = &stageError{reason: x.Reason, stage: i}
+			continue
+		}
+		handles = append(handles, x.Handle)
+	}
+	c.mu.Lock()
+	c.results[i] = out.Results
+	j.held = append(j.held, held{node: out.Node, handles: handles})
+	c.mu.Unlock()
+	return missing
+}
+
+// unprepared answers a request whose stages did not end well; the request itself has not been sent.
+func (g *Gateway) unprepared(r *http.Request, j *job, err error) *outcome {
+	if r.Context().Err() != nil {
+		return &outcome{kind: gone, reason: "caller left", abort: true}
+	}
+	var full *desk.Refused
+	var stage *stageError
+	switch {
+	case errors.As(err, &full):
+		return refusal(full.Error(), plan.Return(g.cfg.Now(), full.Wait, j.end))
+	case errors.As(err, &stage):
+		return refusal(stage.Error(), retrySoon)
+	default:
+		return refusal("stages: "+err.Error(), retrySoon)
+	}
+}
+
+// release gives up the results that a request holds.
+func (g *Gateway) release(j *job) {
+	for _, h := range j.held {
+		if len(h.handles) > 0 {
+			go g.cfg.Desks.Free(h.node, h.handles)
+		}
+	}
+	j.held = nil
+}
