--- a/internal/wire/gateway/answer.go
+++ b/internal/wire/gateway/answer.go
@@ -36,6 +36,14 @@
 	first  func()
 }
 
+// ended gives the outcome of a request; once a part of an answer is out, the only other end is to break it off.
+func (s *answer) ended(o *outcome) *outcome {
+	if !s.begun || o.written || o.abort {
+		return o
+	}
+	return &outcome{kind: broken, reason: "stream was not resumed: " + o.reason, abort: true, inputGone: o.inputGone}
+}
+
 // kept is a whole answer of a target.
 type kept struct {
 	status int
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -40,9 +40,8 @@
 }
 
 // forward sends a request to targets until one answers it.
-func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, j *job) *outcome {
+func (g *Gateway) forward(ctx context.Context, r *http.Request, j *job, s *answer) *outcome {
 	tried := map[string]bool{}
-	s := &answer{w: w}
 	last := refusal("service has no target that may be used", retrySoon)
 	ran := false
 	for unsent := 0; unsent < maxUnsent; {
@@ -68,15 +67,15 @@
 		}
 		tried[t.ID] = true
 		st := g.send(ctx, r, j, s, t)
-		if st.out != nil {
-			return st.out
-		}
-		last = st.last
-		if st.counts {
+		if st.counts || st.out != nil {
 			j.sends++
 		} else {
 			unsent++
 		}
+		if st.out != nil {
+			return st.out
+		}
+		last = st.last
 		ran = ran || st.ran
 		if ran && last.kind == refused {
 			last = failure(http.StatusBadGateway, last.reason)
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -230,12 +230,13 @@
 	defer cancel()
 	defer g.release(j)
 	g.Sent(j.Received, j.service.Name)
+	s := &answer{w: w}
 	var out *outcome
 	for range maxChains {
 		if out = g.prepare(ctx, r, j); out != nil {
-			return out
+			return s.ended(out)
 		}
-		out = g.forward(ctx, w, r, j)
+		out = s.ended(g.forward(ctx, r, j, s))
 		if !out.inputGone {
 			return out
 		}
