--- a/internal/operator/deployment/deployment.go
+++ b/internal/operator/deployment/deployment.go
@@ -239,12 +239,18 @@
 		n.cfg.Log.WithError(err).Warn("node: requests were still running at the end of the grace period")
 		_ = n.front.Close()
 	}
+	n.Kill()
+	n.cfg.Log.WithField("ms", n.cfg.Now().Sub(started).Milliseconds()).Info("node: stopped")
+}
+
+// Kill ends the node as a crash would.
+func (n *Node) Kill() {
+	n.cancel()
+	_ = n.front.Close()
 	n.grpc.Stop()
 	n.desks.Close()
-	n.cancel()
 	for _, s := range n.side {
 		_ = s.Close()
 	}
 	_ = n.meter.Close()
-	n.cfg.Log.WithField("ms", n.cfg.Now().Sub(started).Milliseconds()).Info("node: stopped")
 }
--- a/internal/operator/deployment/follow.go
+++ b/internal/operator/deployment/follow.go
@@ -177,6 +177,9 @@
 		return
 	}
 	p.set(func(r *roster.Roster) *roster.Roster { return r.WithTarget(t) })
+	if t.Cold(now) && !before.Cold(now) {
+		p.cfg.Log.WithFields(logrus.Fields{"target": id, "cold_ms": t.ColdUntil.Sub(now).Milliseconds(), "revision": e.Object.Version}).Info("fleet: target gets cold")
+	}
 	if !known || before.State != t.State || before.Address != t.Address || before.Born != t.Born {
 		p.cfg.Log.WithFields(logrus.Fields{
 			"target": id, "service": t.Service, "state": string(t.State), "address": t.Address, "revision": e.Object.Version,
