Read the list at once when the store says that history is gone

A node was cut off for 12 s; the wait between two tries had grown to 2 s by then, and the store had dropped its history. The node was told so 0.8 s after the cut and then waited 2.5 s before it read the list.

Ruled out: a silent watch (the watch failed at once with 410).

Change: the wait starts anew after such an answer, and grows to 1 s only.

--- a/internal/platform/informer/informer.go
+++ b/internal/platform/informer/informer.go
@@ -11,7 +11,7 @@
 
 const (
 	minBackoff = 100 * time.Millisecond
-	maxBackoff = 2 * time.Second
+	maxBackoff = time.Second
 )
 
 // Config says what to follow and whom to tell.
@@ -49,7 +49,9 @@
 			return
 		}
 		if errors.Is(err, object.ErrGone) {
+			// The store answers, and what was missed may be in force already.
 			i.listed = false
+			backoff = minBackoff
 		}
 		if i.cfg.Failed != nil {
 			i.cfg.Failed(err)
