Free results once the next stage's targets have fetched them

Cause: the room for results bound the stages, not their time.

Change: the desk says when all pieces of a group have been in a call for 40 ms; the gateway then frees their inputs. A chain whose inputs are gone, since a call failed after that, is run once more.

--- a/internal/wire/desk/desk.go
+++ b/internal/wire/desk/desk.go
@@ -31,6 +31,9 @@
 	slowFrom = 1.5
 	// slowForget is the time in which half of a measured slowness is forgotten, so that the target is tried again.
 	slowForget = 3 * time.Second
+	// fetchTime is how long a target takes at most from the start of a call to have fetched the inputs of its pieces:
+	// a few round trips and some megabytes over a link of gigabits.
+	fetchTime = 40 * time.Millisecond
 	// sendMargin is the time that a call and its answer spend on the way.
 	sendMargin = 5 * time.Millisecond
 )
@@ -88,6 +91,10 @@
 	done    []bool
 	left    int
 	ready   chan struct{}
+	// unsent counts the pieces that have been in no call yet; begun is closed once targets have fetched the
+	// inputs of all.
+	unsent int
+	begun  chan struct{}
 }
 
 // lane is what the desk knows of one target.
@@ -122,8 +129,16 @@
 	return 1 + faded
 }
 
-// Produce queues a group, reports that through queued, and waits for its results.
-func (d *Desk) Produce(ctx context.Context, g Group, queued func(wait time.Duration)) ([]Result, error) {
+// Notice is told how far a group is.
+type Notice struct {
+	// Queued is called with the expected wait before the group's call.
+	Queued func(wait time.Duration)
+	// Begun is called once the inputs of the group are no longer needed, unless a call fails.
+	Begun func()
+}
+
+// Produce queues a group and waits for its results.
+func (d *Desk) Produce(ctx context.Context, g Group, n Notice) ([]Result, error) {
 	now := d.cfg.Now()
 	d.mu.Lock()
 	q := d.queue(g.Service, g.Shard)
@@ -133,20 +148,24 @@
 		return nil, err
 	}
 	d.last++
-	x := &group{Group: g, id: d.last, results: make([]Result, g.Count), done: make([]bool, g.Count), left: g.Count, ready: make(chan struct{})}
+	x := &group{Group: g, id: d.last, results: make([]Result, g.Count), done: make([]bool, g.Count), left: g.Count, ready: make(chan struct{}), unsent: g.Count, begun: make(chan struct{})}
 	d.groups[x.id] = x
 	for i := range g.Count {
 		q.waiting.Add(x.piece(i, 0))
 	}
 	d.dispatch(now, q, terms)
 	d.mu.Unlock()
-	queued(wait)
+	n.Queued(wait)
+	begun := x.begun
 	expire := time.NewTimer(g.Last.Sub(now) + time.Millisecond)
 	defer expire.Stop()
 	for {
 		select {
 		case <-x.ready:
 			return x.results, nil
+		case <-begun:
+			begun = nil
+			n.Begun()
 		case <-expire.C:
 			d.mu.Lock()
 			d.expire(d.cfg.Now(), q)
@@ -275,12 +294,25 @@
 			l.used += p.Bytes
 			if p.Tries == 0 {
 				d.cfg.Sent(now, q.service)
+				d.sent(p.Group)
 			}
 		}
 		go d.run(q, l, terms, pieces, now, expected)
 	}
 }
 
+// sent counts a piece that is in its first call; the lock is held.
+func (d *Desk) sent(id uint64) {
+	g := d.groups[id]
+	if g == nil {
+		return
+	}
+	g.unsent--
+	if g.unsent == 0 {
+		time.AfterFunc(fetchTime, func() { close(g.begun) })
+	}
+}
+
 // room is the bytes that results hold at the target.
 func (l *lane) room(now time.Time) int64 {
 	for h, x := range l.held {
--- /dev/null
+++ b/internal/wire/desk/desk_test.go
@@ -0,0 +1,253 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
+)
+
+// fakeCaller stands in for stage targets; a call takes its terms' time unless a function says otherwise.
+type fakeCaller struct {
+	mu    sync.Mutex
+	calls []madeCall
+	freed []string
+	run   func(n int, t roster.Target, pieces []batch.Piece) ([]Result, error)
+	n     int
+}
+
+type madeCall struct {
+	target string
+	pieces []batch.Piece
+	at     time.Time
+}
+
+func (f *fakeCaller) Run(_ context.Context, now time.Time, t roster.Target, terms route.Batch, pieces []batch.Piece) ([]Result, error) {
+	f.mu.Lock()
+	f.calls = append(f.calls, madeCall{target: t.ID, pieces: append([]batch.Piece(nil), pieces...), at: now})
+	n := len(f.calls)
+	f.mu.Unlock()
+	if f.run != nil {
+		if out, err := f.run(n, t, pieces); out != nil || err != nil {
+			return out, err
+		}
+	}
+	time.Sleep(terms.Took(len(pieces)))
+	return f.made(t, pieces), nil
+}
+
+func (f *fakeCaller) made(t roster.Target, pieces []batch.Piece) []Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Result
+	for range pieces {
+		f.n++
+		out = append(out, Result{Handle: fmt.Sprintf("%s/%d", t.Address, f.n), Datacentre: t.Datacentre})
+	}
+	return out
+}
+
+func (f *fakeCaller) Free(_ context.Context, _ string, handles []string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freed = append(f.freed, handles...)
+	return nil
+}
+
+func (f *fakeCaller) made1() []madeCall {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]madeCall(nil), f.calls...)
+}
+
+var testTerms = route.Batch{Size: 4, Call: 50 * time.Millisecond, Piece: 2 * time.Millisecond, Room: 1000, Keep: time.Second}
+
+func newTestDesk(f *fakeCaller, targets ...roster.Target) *Desk {
+	table := route.NewTable(route.Config{Version: 1, Services: []route.Service{{Name: "s", Batch: testTerms}}})
+	r := roster.New().WithTargets(targets, time.Time{})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Config{
+		Caller: f, Table: func() *route.Table { return table }, Roster: func() *roster.Roster { return r }, Log: log, Now: time.Now,
+		Repeat: func(time.Time, string) bool { return true }, Sent: func(time.Time, string) {},
+	})
+}
+
+func target(id, datacentre string) roster.Target {
+	return roster.Target{ID: id, Service: "s", Address: id + ":1", Datacentre: datacentre, State: roster.Ready}
+}
+
+func testGroup(request string, count int, bytes int64) Group {
+	now := time.Now()
+	return Group{Service: "s", Request: request, Count: count, Key: "k", Bytes: bytes, Prompt: now.Add(time.Second), Last: now.Add(2 * time.Second)}
+}
+
+var noNotice = Notice{Queued: func(time.Duration) {}, Begun: func() {}}
+
+func TestFillsACallWhileTheOneBeforeRuns(t *testing.T) {
+	f := &fakeCaller{}
+	d := newTestDesk(f, target("t1", "a"))
+	var all sync.WaitGroup
+	for i := range 9 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if _, err := d.Produce(context.Background(), testGroup(fmt.Sprint(i), 1, 1), noNotice); err != nil {
+				t.Errorf("group %d: %v", i, err)
+			}
+		}()
+	}
+	all.Wait()
+	if got, want := len(f.made1()), 4; got > want {
+		t.Errorf("9 pieces took %d calls of up to 4, want at most %d", got, want)
+	}
+}
+
+// TestTellsWhenInputsAreFetched replays a chain whose results fill the room of their makers: they may go as soon as
+// the next stage has fetched them, not when its call ends.
+func TestTellsWhenInputsAreFetched(t *testing.T) {
+	block := make(chan struct{})
+	f := &fakeCaller{run: func(int, roster.Target, []batch.Piece) ([]Result, error) { <-block; return nil, nil }}
+	d := newTestDesk(f, target("t1", "a"))
+	begun := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = d.Produce(context.Background(), testGroup("r", 2, 1), Notice{Queued: func(time.Duration) {}, Begun: func() { close(begun) }})
+	}()
+	select {
+	case <-begun:
+	case <-done:
+		t.Error("group was done before its inputs were said to be fetched")
+	case <-time.After(2 * time.Second):
+		t.Error("inputs were not said to be fetched while the call ran")
+	}
+	close(block)
+	<-done
+}
+
+func TestMakesNoMoreThanFitsIntoTheRoom(t *testing.T) {
+	f := &fakeCaller{}
+	d := newTestDesk(f, target("t1", "a"))
+	var handles []string
+	out, err := d.Produce(context.Background(), testGroup("r1", 2, 400), noNotice)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range out {
+		handles = append(handles, r.Handle)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = d.Produce(context.Background(), testGroup("r2", 1, 400), noNotice)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	if got, want := len(f.made1()), 1; got != want {
+		t.Errorf("%d calls while the room is full, want %d", got, want)
+	}
+	d.Free(handles)
+	select {
+	case <-done:
+	case <-time.After(time.Second):
+		t.Error("no call after the room was freed")
+	}
+}
+
+func TestSendsPiecesOfAFailedTargetElsewhere(t *testing.T) {
+	f := &fakeCaller{run: func(_ int, x roster.Target, _ []batch.Piece) ([]Result, error) {
+		if x.ID == "t1" {
+			return nil, errors.New("connection refused")
+		}
+		return nil, nil
+	}}
+	d := newTestDesk(f, target("t1", "a"), target("t2", "a"))
+	for i := range 3 {
+		out, err := d.Produce(context.Background(), testGroup(fmt.Sprint(i), 2, 1), noNotice)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range out {
+			if r.Reason != Made {
+				t.Errorf("piece is %q, want it made by the other target", r.Reason)
+			}
+		}
+	}
+}
+
+// TestAsksAnotherTargetWhenACallIsStuck replays a target that falls silent in the middle of a call.
+func TestAsksAnotherTargetWhenACallIsStuck(t *testing.T) {
+	stuck := make(chan struct{})
+	f := &fakeCaller{run: func(n int, _ roster.Target, _ []batch.Piece) ([]Result, error) {
+		if n == 1 {
+			<-stuck
+			return nil, errors.New("closed")
+		}
+		return nil, nil
+	}}
+	defer close(stuck)
+	d := newTestDesk(f, target("t1", "a"), target("t2", "a"))
+	started := time.Now()
+	out, err := d.Produce(context.Background(), testGroup("r", 1, 1), noNotice)
+	if err != nil || out[0].Reason != Made {
+		t.Fatalf("got %v (%v), want a result of the other target", out, err)
+	}
+	if got, want := time.Since(started), 600*time.Millisecond; got > want {
+		t.Errorf("result came after %s, want at most %s", got, want)
+	}
+}
+
+func TestRefusesAtOnceWhatCannotBeginInTime(t *testing.T) {
+	f := &fakeCaller{}
+	d := newTestDesk(f, target("t1", "a"))
+	for i := range 20 {
+		go func() { _, _ = d.Produce(context.Background(), testGroup(fmt.Sprint(i), 4, 1), noNotice) }()
+	}
+	time.Sleep(20 * time.Millisecond)
+	g := testGroup("late", 1, 1)
+	g.Last = time.Now().Add(200 * time.Millisecond)
+	started := time.Now()
+	_, err := d.Produce(context.Background(), g, noNotice)
+	var full *Refused
+	if !errors.As(err, &full) || full.Wait < 500*time.Millisecond {
+		t.Errorf("got %v, want a refusal with the wait", err)
+	}
+	if got, want := time.Since(started), 50*time.Millisecond; got > want {
+		t.Errorf("refused after %s, want at once", got)
+	}
+}
+
+func TestDropsWhatNobodyWaitsFor(t *testing.T) {
+	f := &fakeCaller{}
+	d := newTestDesk(f, target("t1", "a"))
+	go func() { _, _ = d.Produce(context.Background(), testGroup("first", 4, 1), noNotice) }()
+	time.Sleep(10 * time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	gone := make(chan error, 1)
+	go func() {
+		_, err := d.Produce(ctx, testGroup("gone", 4, 1), noNotice)
+		gone <- err
+	}()
+	time.Sleep(10 * time.Millisecond)
+	cancel()
+	if err := <-gone; !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v, want %v", err, context.Canceled)
+	}
+	time.Sleep(150 * time.Millisecond)
+	for _, c := range f.made1() {
+		for _, p := range c.pieces {
+			if p.Request == "gone" {
+				t.Fatal("a piece was made though nobody waits for it")
+			}
+		}
+	}
+}
--- a/internal/wire/desk/server.go
+++ b/internal/wire/desk/server.go
@@ -15,6 +15,7 @@
 
 const (
 	queued  state = "queued"
+	begun   state = "begun"
 	refused state = "refused"
 	done    state = "done"
 )
@@ -31,9 +32,10 @@
 // Produce queues a group of another node's request.
 func (s server) Produce(m *deskpb.Group, out grpc.ServerStreamingServer[deskpb.Progress]) error {
 	g := fromMessage(s.desk.cfg.Now(), m)
-	results, err := s.desk.Produce(out.Context(), g, func(wait time.Duration) {
-		// A caller that is gone shows in the stream's context.
-		_ = out.Send(&deskpb.Progress{State: string(queued), WaitUs: wait.Microseconds()})
+	// A caller that is gone shows in the stream's context.
+	results, err := s.desk.Produce(out.Context(), g, Notice{
+		Queued: func(wait time.Duration) { _ = out.Send(&deskpb.Progress{State: string(queued), WaitUs: wait.Microseconds()}) },
+		Begun:  func() { _ = out.Send(&deskpb.Progress{State: string(begun)}) },
 	})
 	var r *Refused
 	if errors.As(err, &r) {
--- a/internal/wire/desk/switchboard.go
+++ b/internal/wire/desk/switchboard.go
@@ -114,7 +114,8 @@
 }
 
 // Produce has a group made at its desk; it is done here if no desk answers.
-func (s *Switchboard) Produce(ctx context.Context, g Group) (Output, error) {
+// begun is called once the inputs of the group are no longer needed.
+func (s *Switchboard) Produce(ctx context.Context, g Group, begun func()) (Output, error) {
 	for range maxDesks {
 		now := s.cfg.Now()
 		name := s.desk(now, g.Service, g.Shard)
@@ -122,7 +123,7 @@
 		if name == s.cfg.Self || !ok {
 			break
 		}
-		results, err := s.ask(ctx, now, node, g)
+		results, err := s.ask(ctx, now, node, g, begun)
 		var r *Refused
 		if err == nil || errors.As(err, &r) {
 			s.found(node.Name)
@@ -132,7 +133,7 @@
 		}
 		s.lost(now, node, g, err)
 	}
-	results, err := s.cfg.Desk.Produce(ctx, g, func(time.Duration) {})
+	results, err := s.cfg.Desk.Produce(ctx, g, Notice{Queued: func(time.Duration) {}, Begun: begun})
 	return Output{Node: s.cfg.Self, Results: results}, err
 }
 
@@ -192,7 +193,7 @@
 var errSilent = merry.Sentinel("node fell silent")
 
 // ask has a group made by another node.
-func (s *Switchboard) ask(ctx context.Context, now time.Time, node roster.Node, g Group) ([]Result, error) {
+func (s *Switchboard) ask(ctx context.Context, now time.Time, node roster.Node, g Group, freed func()) ([]Result, error) {
 	client, err := s.client(node.Address)
 	if err != nil {
 		return nil, err
@@ -216,6 +217,8 @@
 		switch state(p.State) {
 		case queued:
 			silence.Reset(g.Last.Sub(now) + doneMargin + s.longest(g.Service))
+		case begun:
+			freed()
 		case refused:
 			return nil, &Refused{Wait: time.Duration(p.WaitUs) * time.Microsecond, Why: p.Results[0].Reason}
 		case done:
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -233,10 +233,10 @@
 	s := &answer{w: w}
 	var out *outcome
 	for range maxChains {
-		if out = g.prepare(ctx, r, j); out != nil {
-			return s.ended(out)
+		if out = g.prepare(ctx, r, j); out == nil {
+			out = g.forward(ctx, r, j, s)
 		}
-		out = s.ended(g.forward(ctx, r, j, s))
+		out = s.ended(out)
 		if !out.inputGone {
 			return out
 		}
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -17,7 +17,25 @@
 type chain struct {
 	mu      sync.Mutex
 	results [][]desk.Result
-	err     error
+	held    []held
+	// needed counts for each stage the stages that have not fetched its results yet.
+	needed []int
+	err    error
+}
+
+// fetched gives the results that nobody needs any more once stage i has fetched its inputs.
+func (c *chain) fetched(stages []route.Stage, i int) []held {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []held
+	for _, a := range stages[i].After {
+		c.needed[a]--
+		if c.needed[a] == 0 {
+			list = append(list, c.held[a])
+			c.held[a] = held{}
+		}
+	}
+	return list
 }
 
 // stageError is a stage that brought no results.
@@ -42,7 +60,12 @@
 	tails := shape.Tails()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := &chain{results: make([][]desk.Result, len(j.route.Stages))}
+	c := &chain{results: make([][]desk.Result, len(j.route.Stages)), held: make([]held, len(j.route.Stages)), needed: make([]int, len(j.route.Stages))}
+	for _, s := range j.route.Stages {
+		for _, a := range s.After {
+			c.needed[a]++
+		}
+	}
 	ready := make([]chan struct{}, len(j.route.Stages))
 	for i := range ready {
 		ready[i] = make(chan struct{})
@@ -60,6 +83,7 @@
 		}()
 	}
 	all.Wait()
+	j.held = c.held
 	j.log["stages_ms"] = g.cfg.Now().Sub(started).Milliseconds()
 	if c.err != nil {
 		return g.unprepared(r, j, c.err)
@@ -111,7 +135,7 @@
 	if len(group.Inputs) == 0 {
 		group.Key = j.PieceKey
 	}
-	out, err := g.cfg.Desks.Produce(ctx, group)
+	out, err := g.cfg.Desks.Produce(ctx, group, func() { g.free(c.fetched(j.route.Stages, i)) })
 	if err != nil {
 		return err
 	}
@@ -126,7 +150,7 @@
 	}
 	c.mu.Lock()
 	c.results[i] = out.Results
-	j.held = append(j.held, held{node: out.Node, handles: handles})
+	c.held[i] = held{node: out.Node, handles: handles}
 	c.mu.Unlock()
 	return missing
 }
@@ -142,7 +166,9 @@
 	case errors.As(err, &full):
 		return refusal(full.Error(), plan.Return(g.cfg.Now(), full.Wait, j.end))
 	case errors.As(err, &stage):
-		return refusal(stage.Error(), retrySoon)
+		out := refusal(stage.Error(), retrySoon)
+		out.inputGone = stage.reason == desk.Gone || stage.reason == desk.Failed
+		return out
 	default:
 		return refusal("stages: "+err.Error(), retrySoon)
 	}
@@ -150,10 +176,14 @@
 
 // release gives up the results that a request holds.
 func (g *Gateway) release(j *job) {
-	for _, h := range j.held {
+	g.free(j.held)
+	j.held = nil
+}
+
+func (g *Gateway) free(list []held) {
+	for _, h := range list {
 		if len(h.handles) > 0 {
 			go g.cfg.Desks.Free(h.node, h.handles)
 		}
 	}
-	j.held = nil
 }
