Make a stage where its inputs lie

Change: a group names the data centre where its pieces are best made, by the bytes of its inputs and, for the last stage, of its results.

--- a/internal/serving/batch/queue.go
+++ b/internal/serving/batch/queue.go
@@ -23,8 +23,10 @@
 	Prompt time.Time
 	// Last is the latest start of the call with which the request still meets its deadline.
 	Last time.Time
-	// Home is the data centre in which the result is wanted, "" for any.
-	Home string
+	// Home is the data centre in which the piece is best made, "" for any, and Weight the bytes that cross to or from
+	// another one if it is made there.
+	Home   string
+	Weight int64
 	// Tries is how many calls the piece has been in.
 	Tries int
 }
@@ -74,8 +76,7 @@
 // their aim go first, by priority and then by the time that is left; those that are late already fill the call
 // up, so that no time is spent on them while others can still be on time.
 //
-// It also answers results that are large: a piece whose results are wanted in another data centre is left to a target
-// there, if one is free soon enough for the request's aim; homes says when.
+// It also answers results that are large: a piece that is best made in another data centre is left to a target there, if one is free soon enough for the request's aim; homes says when.
 func (q *Queue) Take(now time.Time, size int, room int64, home string, homes map[string]time.Time) []Piece {
 	sort.SliceStable(q.pieces, func(i, j int) bool { return before(q.pieces[i], q.pieces[j], now, home) })
 	waiting := map[string]int{}
@@ -101,15 +102,15 @@
 }
 
 const (
-	// largeResult is the size from which the way to another data centre costs more than a short wait, in bytes.
-	largeResult = 200_000
+	// heavy is the weight from which the way between data centres costs more than a short wait, in bytes.
+	heavy = 200_000
 	// homeSlack is kept between the time at which a target at home is free and the latest useful start.
 	homeSlack = 100 * time.Millisecond
 )
 
 // stays tells whether a piece waits for a target in its home rather than going to one in the data centre at.
 func (p Piece) stays(at string, homes map[string]time.Time) bool {
-	if p.Home == "" || p.Home == at || p.Bytes < largeResult {
+	if p.Home == "" || p.Home == at || p.Weight < heavy {
 		return false
 	}
 	free, ok := homes[p.Home]
--- /dev/null
+++ b/internal/serving/batch/queue_test.go
@@ -0,0 +1,111 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
+)
+
+var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func names(list []Piece) string {
+	s := ""
+	for _, p := range list {
+		s += p.Request
+	}
+	return s
+}
+
+// TestTakesWhatCanStillBeOnTime replays a burst: late pieces, urgent and less urgent ones wait for one call.
+func TestTakesWhatCanStillBeOnTime(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		pieces []Piece
+		size   int
+		want   string
+	}{
+		{"earlier aim first", []Piece{{Request: "a", Prompt: at(20)}, {Request: "b", Prompt: at(10)}}, 1, "b"},
+		{"more urgent first", []Piece{{Request: "a", Prompt: at(10), Priority: 2}, {Request: "b", Prompt: at(20)}}, 1, "b"},
+		{"late ones behind those on time", []Piece{{Request: "a", Prompt: at(-10)}, {Request: "b", Prompt: at(20), Priority: 2}}, 1, "b"},
+		{"late ones fill the call up", []Piece{{Request: "a", Prompt: at(-10)}, {Request: "b", Prompt: at(20)}}, 2, "ba"},
+		{"no more than the size", []Piece{{Request: "a", Prompt: at(1)}, {Request: "b", Prompt: at(2)}, {Request: "c", Prompt: at(3)}}, 2, "ab"},
+		{"no more than the room", []Piece{{Request: "a", Prompt: at(1), Bytes: 90}, {Request: "b", Prompt: at(2), Bytes: 20}, {Request: "c", Prompt: at(3), Bytes: 5}}, 3, "ac"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var q Queue
+			q.Add(c.pieces...)
+			if got := names(q.Take(start, c.size, 100, "x", nil)); got != c.want {
+				t.Errorf("got call of %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestLeavesHeavyPiecesToATargetAtHome(t *testing.T) {
+	piece := Piece{Request: "a", Prompt: at(500), Home: "home", Weight: heavy}
+	for _, c := range []struct {
+		name  string
+		piece Piece
+		homes map[string]time.Time
+		want  string
+	}{
+		{"home is free in time", piece, map[string]time.Time{"home": at(300)}, ""},
+		{"home is free too late", piece, map[string]time.Time{"home": at(450)}, "a"},
+		{"home has no targets", piece, nil, "a"},
+		{"light piece", Piece{Request: "a", Prompt: at(500), Home: "home", Weight: heavy - 1}, map[string]time.Time{"home": at(0)}, "a"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var q Queue
+			q.Add(c.piece)
+			if got := names(q.Take(start, 4, 100, "away", c.homes)); got != c.want {
+				t.Errorf("got call of %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestExpiresWhatCannotEndInTime(t *testing.T) {
+	var q Queue
+	q.Add(Piece{Request: "a", Last: at(-1)}, Piece{Request: "b", Last: at(1)})
+	if got, want := names(q.Expire(start)), "a"; got != want {
+		t.Errorf("got %q expired, want %q", got, want)
+	}
+	if got, want := q.Len(), 1; got != want {
+		t.Errorf("%d pieces left, want %d", got, want)
+	}
+}
+
+func TestEstimatesTheStartOfAGroup(t *testing.T) {
+	b := route.Batch{Size: 4, Call: 200 * time.Millisecond, Piece: 10 * time.Millisecond}
+	for _, c := range []struct {
+		name    string
+		waiting int
+		n       int
+		free    []time.Time
+		want    time.Time
+	}{
+		{"free target", 0, 4, []time.Time{at(-5)}, start},
+		{"target in a call", 0, 1, []time.Time{at(100)}, at(100)},
+		{"behind two calls", 8, 1, []time.Time{at(100)}, at(100 + 2*240)},
+		{"two targets share the queue", 8, 1, []time.Time{at(100), at(100)}, at(100 + 240)},
+		{"a group of two calls", 0, 5, []time.Time{at(0)}, at(240)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var q Queue
+			for range c.waiting {
+				q.Add(Piece{})
+			}
+			got, ok := q.Start(start, c.n, 1, b, c.free)
+			if !ok || !got.Equal(c.want) {
+				t.Errorf("got start %s (%t), want %s", got.Sub(start), ok, c.want.Sub(start))
+			}
+		})
+	}
+	var q Queue
+	if _, ok := q.Start(start, 1, 1, b, nil); ok {
+		t.Error("got a start without targets, want none")
+	}
+}
--- a/internal/wire/desk/desk.go
+++ b/internal/wire/desk/desk.go
@@ -203,7 +203,7 @@
 func (g *group) piece(i, tries int) batch.Piece {
 	return batch.Piece{
 		Group: g.id, Request: g.Request, Stage: g.Stage, Segment: i, Key: g.Key, Inputs: g.Inputs, Bytes: g.Bytes,
-		Priority: g.Priority, Prompt: g.Prompt, Last: g.Last, Home: g.Home, Tries: tries,
+		Priority: g.Priority, Prompt: g.Prompt, Last: g.Last, Home: g.Home, Weight: g.Weight, Tries: tries,
 	}
 }
 
--- a/internal/wire/desk/group.go
+++ b/internal/wire/desk/group.go
@@ -22,8 +22,10 @@
 	// Prompt and Last are the latest starts of the call with which the request meets its aim and its deadline.
 	Prompt time.Time
 	Last   time.Time
-	// Home is the data centre in which the results are wanted, "" for any.
-	Home string
+	// Home is the data centre in which the pieces are best made, "" for any, and Weight the bytes for each piece
+	// that cross to or from another one if they are made there.
+	Home   string
+	Weight int64
 }
 
 // Result is what became of one piece.
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,7 +111,7 @@
 	s := j.route.Stages[i]
 	group := desk.Group{
 		Service: s.Service, Shard: desk.Shard(g.cfg.Roster(), s.Service, g.cfg.Datacentre), Request: j.ID, Stage: i,
-		Bytes: s.Bytes, Priority: j.priority(), Home: home, Prompt: j.aim.Add(-tail), Last: j.end.Add(-tail),
+		Bytes: s.Bytes, Priority: j.priority(), Prompt: j.aim.Add(-tail), Last: j.end.Add(-tail),
 	}
 	if i < len(j.Pieces) {
 		group.Count = j.Pieces[i]
@@ -136,6 +137,7 @@
 	if len(group.Inputs) == 0 {
 		group.Key = j.PieceKey
 	}
+	group.Home, group.Weight = c.home(j.route.Stages, i, home)
 	out, err := g.cfg.Desks.Produce(ctx, group, func() { g.free(c.fetched(j.route.Stages, i)) })
 	if err != nil {
 		return err
@@ -156,6 +158,33 @@
 	return missing
 }
 
+// home gives where the pieces of a stage are best made: every piece fetches all inputs of the stage, and its result is
+// fetched by every piece of the stages behind it, or once by the target in the data centre last.
+func (c *chain) home(stages []route.Stage, i int, last string) (datacentre string, weight int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	from := map[string]int64{}
+	for _, a := range stages[i].After {
+		for _, x := range c.results[a] {
+			from[x.Datacentre] += stages[a].Bytes
+		}
+	}
+	for _, s := range stages {
+		if slices.Contains(s.After, i) {
+			last = ""
+		}
+	}
+	if last != "" {
+		from[last] += stages[i].Bytes
+	}
+	for d, w := range from {
+		if w > weight || (w == weight && d < datacentre) {
+			datacentre, weight = d, w
+		}
+	}
+	return datacentre, weight
+}
+
 // unprepared answers a request whose stages did not end well; the request itself has not been sent.
 func (g *Gateway) unprepared(r *http.Request, j *job, err error) *outcome {
 	if r.Context().Err() != nil {
