Wait for the room that unknown results hold

Cause: after a desk has moved, results of requests that are gone lie at the targets until their time ends, and the new desk does not know of them.

Change: what a target lacked counts as held and fades with the time that results are kept; a piece without room waits again instead of using up a try.

--- a/internal/wire/desk/desk.go
+++ b/internal/wire/desk/desk.go
@@ -34,6 +34,8 @@
 	// fetchTime is how long a target takes at most from the start of a call to have fetched the inputs of its pieces:
 	// a few round trips and some megabytes over a link of gigabits.
 	fetchTime = 40 * time.Millisecond
+	// fullSteps is into how many looks the time is cut that unknown results may stay at a full target.
+	fullSteps = 8
 	// sendMargin is the time that a call and its answer spend on the way.
 	sendMargin = 5 * time.Millisecond
 )
@@ -132,6 +134,9 @@
 	measured time.Time
 	held     map[string]holding
 	used     int64
+	// hidden is space that results of which this desk knows nothing held at a time; they end by their own time.
+	hidden   int64
+	hiddenAt time.Time
 }
 
 // holding is the space of one result.
@@ -306,7 +311,7 @@
 		if l == nil {
 			return
 		}
-		room := terms.Room - l.room(now)
+		room := terms.Room - l.room(now, terms)
 		pieces := q.waiting.Take(now, terms.Size, room, l.target.Datacentre, q.homes(now))
 		if len(pieces) == 0 {
 			q.passed[l.target.ID] = true
@@ -338,15 +343,32 @@
 	}
 }
 
+// full notes that the target lacked so many bytes for results: results that this desk does not know of hold them.
+//
+// It answers a desk that took over from a node that is gone, whose results stay at the targets until their time ends.
+func (l *lane) full(now time.Time, terms route.Batch, lacked int64) {
+	l.hidden = l.unknown(now, terms) + lacked
+	l.hiddenAt = now
+}
+
+// unknown is the space that unknown results still hold.
+func (l *lane) unknown(now time.Time, terms route.Batch) int64 {
+	left := terms.Keep - now.Sub(l.hiddenAt)
+	if l.hidden == 0 || left <= 0 {
+		return 0
+	}
+	return int64(float64(l.hidden) * left.Seconds() / terms.Keep.Seconds())
+}
+
 // room is the bytes that results hold at the target.
-func (l *lane) room(now time.Time) int64 {
+func (l *lane) room(now time.Time, terms route.Batch) int64 {
 	for h, x := range l.held {
 		if now.After(x.until) {
 			delete(l.held, h)
 			l.used -= x.bytes
 		}
 	}
-	return l.used
+	return l.used + l.unknown(now, terms)
 }
 
 // next chooses the target of the next call, nil if none should begin one.
@@ -362,7 +384,7 @@
 		}
 	}
 	for _, l := range q.lanes {
-		if l.busy || q.passed[l.target.ID] || now.Before(l.avoid) || terms.Room-l.room(now) <= 0 {
+		if l.busy || q.passed[l.target.ID] || now.Before(l.avoid) || terms.Room-l.room(now, terms) <= 0 {
 			continue
 		}
 		s := l.slowness(now)
@@ -406,8 +428,16 @@
 		l.fails = 0
 		l.slow = float64(now.Sub(started)-sendMargin) / float64(terms.Took(len(pieces)))
 		l.measured = now
+		var lacked int64
 		for i, p := range pieces {
 			d.settle(now, q, l, terms, p, results[i])
+			if results[i].Reason == Full {
+				lacked += p.Bytes
+			}
+		}
+		if lacked > 0 {
+			l.full(now, terms, lacked)
+			time.AfterFunc(terms.Keep/fullSteps, d.Changed)
 		}
 	}
 	d.dispatch(now, q, terms)
@@ -427,7 +457,11 @@
 	if g == nil || g.done[p.Segment] {
 		return
 	}
-	if (r.Reason == Full || r.Reason == Failed) && d.again(now, q, p) {
+	if r.Reason == Full && !now.After(p.Last) {
+		q.waiting.Add(p)
+		return
+	}
+	if r.Reason == Failed && d.again(now, q, p) {
 		return
 	}
 	d.finish(g, p.Segment, r)
--- a/internal/wire/desk/desk_test.go
+++ b/internal/wire/desk/desk_test.go
@@ -251,3 +251,28 @@
 		}
 	}
 }
+
+// TestWaitsForRoomThatUnknownResultsHold replays a desk that took over from a node that is gone: the target's room is
+// partly held by results that nobody will free.
+func TestWaitsForRoomThatUnknownResultsHold(t *testing.T) {
+	f := &fakeCaller{}
+	f.run = func(n int, x roster.Target, pieces []batch.Piece) ([]Result, error) {
+		if n == 1 {
+			out := make([]Result, len(pieces))
+			for i := range out {
+				out[i].Reason = Full
+			}
+			return out, nil
+		}
+		return nil, nil
+	}
+	d := newTestDesk(f, target("t1", "a"))
+	out, err := d.Produce(context.Background(), testGroup("r", 2, 500), noNotice)
+	if err != nil || out[0].Reason != Made || out[1].Reason != Made {
+		t.Fatalf("got %v (%v), want both pieces made in the end", out, err)
+	}
+	calls := f.made1()
+	if got, want := calls[1].at.Sub(calls[0].at), testTerms.Keep/fullSteps; got < want {
+		t.Errorf("second call came %s after the one without room, want at least %s", got, want)
+	}
+}
