Ask a node's desk again once the node has started again

After a kill at 11.7 s some nodes passed the node over for up to 16 s while others came back to it: two desks filled the same three targets for ten seconds, 591 pieces found no room.

Ruled out: a shorter time of passing over for all (it costs 0.3 s of each request meanwhile when the node is gone for good).

Change: passing over holds for one run of a node, known by its start.

--- a/internal/wire/desk/switchboard.go
+++ b/internal/wire/desk/switchboard.go
@@ -48,12 +48,17 @@
 	shun  map[string]shun
 }
 
-// shun is how often a node did not answer in a row, and until when it is passed over.
+// shun is how often one run of a node did not answer in a row, and until when it is passed over.
 type shun struct {
+	born  int64
 	fails int
 	until time.Time
 }
 
+// passes tells whether a node is passed over at now. A node that has started again is not: all nodes must come back to
+// the same desk soon, since two desks fill the same targets badly.
+func (x shun) passes(now time.Time, n roster.Node) bool { return x.born == n.Born && now.Before(x.until) }
+
 // SwitchboardConfig is what a switchboard is made of.
 type SwitchboardConfig struct {
 	// Self is the name of this node.
@@ -96,11 +101,12 @@
 	defer s.mu.Unlock()
 	var names, near []string
 	for _, n := range r.Nodes() {
-		if now.Before(s.shun[n].until) {
+		x, _ := r.Node(n)
+		if s.shun[n].passes(now, x) {
 			continue
 		}
 		names = append(names, n)
-		if x, _ := r.Node(n); x.Datacentre == shard {
+		if x.Datacentre == shard {
 			near = append(near, n)
 		}
 	}
@@ -148,6 +154,9 @@
 func (s *Switchboard) lost(now time.Time, node roster.Node, g Group, err error) {
 	s.mu.Lock()
 	x := s.shun[node.Name]
+	if x.born != node.Born {
+		x = shun{born: node.Born}
+	}
 	x.fails++
 	wait := min(shunMax, shunFor<<min(x.fails-1, 8))
 	x.until = now.Add(wait)
