--- a/internal/wire/desk/desk.go
+++ b/internal/wire/desk/desk.go
@@ -437,12 +437,24 @@
 		}
 		if lacked > 0 {
 			l.full(now, terms, lacked)
-			time.AfterFunc(terms.Keep/fullSteps, d.Changed)
+			d.look(l, terms)
 		}
 	}
 	d.dispatch(now, q, terms)
 }
 
+// look looks at the queues again and again while unknown results fade at a target.
+func (d *Desk) look(l *lane, terms route.Batch) {
+	time.AfterFunc(terms.Keep/fullSteps, func() {
+		d.Changed()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if l.unknown(d.cfg.Now(), terms) > 0 {
+			d.look(l, terms)
+		}
+	})
+}
+
 // settle takes the result of one piece; the lock is held.
 func (d *Desk) settle(now time.Time, q *queue, l *lane, terms route.Batch, p batch.Piece, r Result) {
 	g := d.groups[p.Group]
