Start from another node's lists while the store is away

Ruled out: removing the entry at the stop (the store is down then).

Change: nodes serve what they have read from the store to nodes that start; a node asks the seeds' machines once the store has been silent for 400 ms, and the store's own lists go over those. A desk without configuration says so and another one is asked.

--- a/internal/operator/deployment/deployment.go
+++ b/internal/operator/deployment/deployment.go
@@ -20,6 +20,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/desk"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/gateway"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/link"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/snapshot"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/transport"
 )
 
@@ -33,6 +34,8 @@
 	joinRetry = time.Second
 	// leaveTimeout bounds the removal of the node's entry.
 	leaveTimeout = time.Second
+	// askAfter is how long the store may take to give the first lists before other nodes are asked for theirs.
+	askAfter = 400 * time.Millisecond
 	// pruneEvery is how often state of targets that are gone is dropped.
 	pruneEvery = time.Minute
 	// callerProbe and its count bound how long a caller's silent connection is kept.
@@ -91,6 +94,7 @@
 	go p.follow(ctx, k.Nodes, p.replaceNodes, p.applyNode)
 	go n.join(ctx)
 	go n.prune(ctx)
+	go n.catchUp(ctx)
 	cfg.Log.WithFields(logrus.Fields{"node": cfg.Settings.Name, "datacentre": cfg.Settings.Datacentre, "address": cfg.Settings.Caller}).Info("node: started")
 	return n, nil
 }
@@ -124,6 +128,7 @@
 	}
 	n.grpc = grpc.NewServer()
 	desk.Register(n.grpc, n.desk)
+	snapshot.Register(n.grpc, n.picture.lists)
 	go n.serve("nodes", func() error { return n.grpc.Serve(peers) })
 	callers, err := listen(s.Caller)
 	if err != nil {
@@ -171,6 +176,34 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// catchUp asks other nodes for what the store does not give, until the node has a configuration and targets.
+func (n *Node) catchUp(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(askAfter):
+		}
+		if n.picture.table.Load() != nil && n.picture.listed.Load() {
+			return
+		}
+		for _, address := range n.cfg.Settings.Seeds {
+			if address == n.cfg.Settings.Peer {
+				continue
+			}
+			lists, err := snapshot.Read(ctx, address)
+			if err != nil {
+				n.cfg.Log.WithError(err).WithField("from", address).Info("node: other node gave no lists")
+				continue
+			}
+			if len(lists) > 0 {
+				n.picture.adopt(address, lists)
+				break
+			}
+		}
+	}
+}
+
 // join writes the node's entry, over that of an earlier run.
 func (n *Node) join(ctx context.Context) {
 	s := n.cfg.Settings
--- a/internal/operator/deployment/follow.go
+++ b/internal/operator/deployment/follow.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +44,9 @@
 	listed  atomic.Bool
 	changed func()
 
+	// listing keeps another node's older list from going over one of the store.
+	listing sync.Mutex
+
 	mu sync.Mutex
 	// out and nodes are the objects of the two kinds, by name.
 	out   map[string]bool
@@ -49,23 +54,81 @@
 	// lost is when the store was last found not to answer, by kind; back when it answered again.
 	lost map[string]bool
 	back map[string]time.Time
+	// raw is the objects that were read, by kind and name, for nodes that start while the store is away.
+	raw map[string]object.List
 }
 
 func newPicture(cfg Config) *picture {
-	p := &picture{cfg: cfg, out: map[string]bool{}, nodes: map[string]roster.Node{}, lost: map[string]bool{}, back: map[string]time.Time{}}
+	p := &picture{cfg: cfg, out: map[string]bool{}, nodes: map[string]roster.Node{}, lost: map[string]bool{}, back: map[string]time.Time{}, raw: map[string]object.List{}}
 	p.roster.Store(roster.New())
 	return p
 }
 
 func (p *picture) follow(ctx context.Context, kind string, replace func(object.List), apply func(object.Event)) {
 	informer.New(informer.Config{
-		Store: p.cfg.Store, Kind: kind, Replace: replace, Apply: apply,
+		Store: p.cfg.Store, Kind: kind,
+		Replace: func(l object.List) {
+			p.listing.Lock()
+			defer p.listing.Unlock()
+			p.keep(kind, l)
+			replace(l)
+		},
+		Apply: func(e object.Event) {
+			p.listing.Lock()
+			defer p.listing.Unlock()
+			p.change(kind, e)
+			apply(e)
+		},
 		Heard:  func() { p.heard(kind) },
 		Failed: func(err error) { p.failed(kind, err) },
 		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}).Run(ctx)
 }
 
+// keep remembers a list as it was read.
+func (p *picture) keep(kind string, l object.List) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.raw[kind] = object.List{Version: l.Version, Items: slices.Clone(l.Items)}
+}
+
+// change brings a remembered list up to date.
+func (p *picture) change(kind string, e object.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.raw[kind]
+	items := slices.DeleteFunc(slices.Clone(l.Items), func(o object.Object) bool { return o.Name == e.Object.Name })
+	if e.Type == object.Put {
+		items = append(items, e.Object)
+	}
+	p.raw[kind] = object.List{Version: max(l.Version, e.Object.Version), Items: items}
+}
+
+// lists gives what was read, by kind.
+func (p *picture) lists() map[string]object.List {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.raw)
+}
+
+// adopt takes another node's lists for the kinds that the store has not given yet.
+func (p *picture) adopt(from string, lists map[string]object.List) {
+	p.listing.Lock()
+	defer p.listing.Unlock()
+	k := p.cfg.Platform
+	for kind, replace := range map[string]func(object.List){
+		k.Targets: p.replaceTargets, k.Out: p.replaceOut, k.Nodes: p.replaceNodes, k.Config: p.replaceConfig,
+	} {
+		p.mu.Lock()
+		_, read := p.raw[kind]
+		p.mu.Unlock()
+		if l, ok := lists[kind]; ok && !read {
+			replace(l)
+			p.cfg.Log.WithFields(logrus.Fields{"kind": kind, "from": from, "revision": l.Version, "objects": len(l.Items)}).Info("store: list taken from another node")
+		}
+	}
+}
+
 // heard notes that the store answers.
 func (p *picture) heard(kind string) {
 	p.mu.Lock()
--- a/internal/operator/settings/deployment.go
+++ b/internal/operator/settings/deployment.go
@@ -15,6 +15,8 @@
 	Peer    string
 	Metrics string
 	Store   string
+	// Seeds are the Peer addresses of some other nodes; they may be stale.
+	Seeds []string
 	// Memory is in bytes, Files a number of descriptors.
 	Memory int64
 	Files  int
--- a/internal/wire/desk/desk.go
+++ b/internal/wire/desk/desk.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
@@ -40,6 +41,9 @@
 	sendMargin = 5 * time.Millisecond
 )
 
+// ErrUnready is the error of a desk whose node has no configuration yet; another desk may do the work.
+var ErrUnready = merry.Sentinel("desk has no configuration yet")
+
 // Caller makes the calls of stage targets.
 type Caller interface {
 	// Run makes one call; the results are in the order of the pieces. An error means that no piece has a result.
@@ -214,6 +218,9 @@
 
 // admit refuses a group that could not begin in time.
 func (d *Desk) admit(now time.Time, q *queue, g Group) (route.Batch, time.Duration, error) {
+	if d.cfg.Table() == nil {
+		return route.Batch{}, 0, ErrUnready
+	}
 	terms, ok := d.terms(g.Service)
 	if !ok {
 		return terms, 0, &Refused{Why: "service runs no stages"}
--- a/internal/wire/desk/server.go
+++ b/internal/wire/desk/server.go
@@ -34,8 +34,10 @@
 	g := fromMessage(s.desk.cfg.Now(), m)
 	// A caller that is gone shows in the stream's context.
 	results, err := s.desk.Produce(out.Context(), g, Notice{
-		Queued: func(wait time.Duration) { _ = out.Send(&deskpb.Progress{State: string(queued), WaitUs: wait.Microseconds()}) },
-		Begun:  func() { _ = out.Send(&deskpb.Progress{State: string(begun)}) },
+		Queued: func(wait time.Duration) {
+			_ = out.Send(&deskpb.Progress{State: string(queued), WaitUs: wait.Microseconds()})
+		},
+		Begun: func() { _ = out.Send(&deskpb.Progress{State: string(begun)}) },
 	})
 	var r *Refused
 	if errors.As(err, &r) {
--- a/internal/wire/desk/switchboard.go
+++ b/internal/wire/desk/switchboard.go
@@ -57,7 +57,9 @@
 
 // passes tells whether a node is passed over at now. A node that has started again is not: all nodes must come back to
 // the same desk soon, since two desks fill the same targets badly.
-func (x shun) passes(now time.Time, n roster.Node) bool { return x.born == n.Born && now.Before(x.until) }
+func (x shun) passes(now time.Time, n roster.Node) bool {
+	return x.born == n.Born && now.Before(x.until)
+}
 
 // SwitchboardConfig is what a switchboard is made of.
 type SwitchboardConfig struct {
--- /dev/null
+++ b/internal/wire/snapshot/doc.go
@@ -0,0 +1,2 @@
+// Package snapshot passes what a node has read from the platform's store on to nodes that start while the store is away.
+package snapshot
