--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -119,9 +119,10 @@
 	route   route.Route
 	service route.Service
 	team    route.Team
-	// aim and end are when an answer is wanted, and when it must be final.
-	aim time.Time
-	end time.Time
+	// aim, first and end are when an answer is wanted, when it must have begun, and when it must be final.
+	aim   time.Time
+	first time.Time
+	end   time.Time
 	// inputs are the results that the request needs, held those that are to be freed with it.
 	inputs []string
 	held   []held
@@ -211,8 +212,23 @@
 	}
 	j.end = j.Received.Add(wait - answerMargin)
 	j.aim = j.Received.Add(j.route.Aim - before)
+	j.first = j.end
+	if j.route.Repeat == route.Stream {
+		patience := max(minPatience, patienceAims*j.route.Aim, patiencePauses*j.route.Pause)
+		if first := j.Received.Add(patience - answerMargin); first.Before(j.end) {
+			j.first = first
+		}
+	}
 }
 
+// Callers leave a stream that brings nothing for the longest of minPatience, patienceAims times the aim and
+// patiencePauses times the longest pause.
+const (
+	minPatience    = 2 * time.Second
+	patienceAims   = 4
+	patiencePauses = 8
+)
+
 // late tells whether a request would still run when a planned stop ends.
 func (g *Gateway) late(j *job) bool {
 	g.mu.Lock()
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -111,7 +111,7 @@
 	s := j.route.Stages[i]
 	group := desk.Group{
 		Service: s.Service, Shard: desk.Shard(g.cfg.Roster(), s.Service, g.cfg.Datacentre), Request: j.ID, Stage: i,
-		Bytes: s.Bytes, Priority: j.priority(), Prompt: j.aim.Add(-tail), Last: j.end.Add(-tail),
+		Bytes: s.Bytes, Priority: j.priority(), Prompt: j.aim.Add(-tail), Last: j.first.Add(-tail),
 	}
 	if i < len(j.Pieces) {
 		group.Count = j.Pieces[i]
@@ -194,7 +194,7 @@
 	var stage *stageError
 	switch {
 	case errors.As(err, &full):
-		return refusal(full.Error(), plan.Return(g.cfg.Now(), full.Wait, j.end))
+		return refusal(full.Error(), plan.Return(g.cfg.Now(), full.Wait, j.first))
 	case errors.As(err, &stage):
 		out := refusal(stage.Error(), retrySoon)
 		out.inputGone = stage.reason == desk.Gone || stage.reason == desk.Failed
