Let few nodes watch the store for the others of a large fleet

Ruled out: longer waits of the watches (a store that loses its history leaves them without a word, which broke CONFIG before).

Change: in a fleet of 16 nodes or more the two nodes with the widest links of each data centre watch the store; the others follow one of them, and go to the store by themselves once the relay is silent for 1 s or has not heard the store for 1.4 s. Lists of different age are merged by the versions of the objects.

--- /dev/null
+++ b/internal/fleet/relay/relay_test.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
+)
+
+func fleet(n int) []roster.Node {
+	var list []roster.Node
+	for i := range n {
+		link := 10.0
+		if i%8 == 0 {
+			link = 200
+		}
+		list = append(list, roster.Node{Name: fmt.Sprintf("n%d", i), Datacentre: string(rune('a' + i%2)), Link: link})
+	}
+	return list
+}
+
+func TestPick(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		self string
+		n    int
+		want int
+	}{
+		{"small fleet", "n1", 15, 0},
+		{"large fleet", "n3", 32, 2},
+		{"node that is not listed", "x", 32, 0},
+	} {
+		if got := len(Pick(c.self, fleet(c.n))); got != c.want {
+			t.Errorf("%s: got %d relays, want %d", c.name, got, c.want)
+		}
+	}
+	direct := 0
+	for _, n := range fleet(64) {
+		relays := Pick(n.Name, fleet(64))
+		if len(relays) == 0 {
+			direct++
+		}
+		for _, r := range relays {
+			if r.Datacentre != n.Datacentre {
+				t.Errorf("node of %s has a relay in %s", n.Datacentre, r.Datacentre)
+			}
+			if n.Datacentre == "a" && r.Link != 200 {
+				t.Errorf("relay %s has a link of %v, want the widest", r.Name, r.Link)
+			}
+		}
+	}
+	if got, want := direct, 4; got != want {
+		t.Errorf("%d of 64 nodes watch the store, want %d", got, want)
+	}
+}
+
+func TestFresh(t *testing.T) {
+	now := time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+	for _, c := range []struct {
+		name  string
+		since time.Duration
+		age   time.Duration
+		want  bool
+	}{
+		{"just heard", 0, 900 * time.Millisecond, true},
+		{"silent", 1100 * time.Millisecond, 0, false},
+		{"store has not answered the relay", 0, 1500 * time.Millisecond, false},
+		{"both together", 800 * time.Millisecond, 800 * time.Millisecond, false},
+	} {
+		if got := (Word{Heard: now.Add(-c.since), Age: c.age}).Fresh(now); got != c.want {
+			t.Errorf("%s: got %t, want %t", c.name, got, c.want)
+		}
+	}
+}
+
+func list(version uint64, objects string) object.List {
+	l := object.List{Version: version}
+	for _, f := range strings.Fields(objects) {
+		var o object.Object
+		_, _ = fmt.Sscanf(f, "%1s%d", &o.Name, &o.Version)
+		l.Items = append(l.Items, o)
+	}
+	return l
+}
+
+func text(l object.List) string {
+	var parts []string
+	for _, o := range l.Items {
+		parts = append(parts, fmt.Sprintf("%s%d", o.Name, o.Version))
+	}
+	return strings.Join(parts, " ")
+}
+
+func TestMerge(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		a, b object.List
+		want string
+	}{
+		{"newer object", list(5, "a1"), list(9, "a7"), "a7"},
+		{"older object", list(9, "a7"), list(5, "a1"), "a7"},
+		{"object that the older list lacks", list(5, "a1"), list(9, "a1 b7"), "a1 b7"},
+		{"removed since the older list", list(5, "a1 b2"), list(9, "a1"), "a1"},
+		{"removed before the newer list, still in the older", list(9, "a1"), list(5, "a1 b2"), "a1"},
+		{"made after the older list", list(9, "a1 b7"), list(5, "a1"), "a1 b7"},
+	} {
+		if got := text(Merge(c.a, c.b)); got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -41,6 +41,8 @@
 	Datacentre string
 	// Born is the Unix millisecond of the process's start.
 	Born int64
+	// Link is the width of the node's link, in megabits a second.
+	Link float64
 }
 
 // Roster is an immutable picture of the fleet.
--- a/internal/operator/deployment/deployment.go
+++ b/internal/operator/deployment/deployment.go
@@ -95,6 +95,7 @@
 	go n.join(ctx)
 	go n.prune(ctx)
 	go n.catchUp(ctx)
+	go p.relayed(ctx)
 	cfg.Log.WithFields(logrus.Fields{"node": cfg.Settings.Name, "datacentre": cfg.Settings.Datacentre, "address": cfg.Settings.Caller}).Info("node: started")
 	return n, nil
 }
@@ -128,7 +129,7 @@
 	}
 	n.grpc = grpc.NewServer()
 	desk.Register(n.grpc, n.desk)
-	snapshot.Register(n.grpc, n.picture.lists)
+	snapshot.Register(n.grpc, n.picture)
 	go n.serve("nodes", func() error { return n.grpc.Serve(peers) })
 	callers, err := listen(s.Caller)
 	if err != nil {
@@ -207,7 +208,7 @@
 // join writes the node's entry, over that of an earlier run.
 func (n *Node) join(ctx context.Context) {
 	s := n.cfg.Settings
-	self := roster.Node{Name: s.Name, Address: s.Peer, Datacentre: s.Datacentre, Born: n.cfg.Now().UnixMilli()}
+	self := roster.Node{Name: s.Name, Address: s.Peer, Datacentre: s.Datacentre, Born: n.cfg.Now().UnixMilli(), Link: s.Link}
 	version := uint64(0)
 	for ctx.Err() == nil {
 		o, err := n.cfg.Store.Put(ctx, n.cfg.Platform.Nodes, s.Name, version, n.cfg.Platform.Member(self))
@@ -265,6 +266,7 @@
 	n.gateway.Close(started, grace)
 	n.front.SetKeepAlivesEnabled(false)
 	go n.leave()
+	n.picture.hub.Close()
 	time.Sleep(min(rotation, grace/2))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-n.cfg.Now().Sub(started))
 	defer cancel()
--- a/internal/operator/deployment/follow.go
+++ b/internal/operator/deployment/follow.go
@@ -17,6 +17,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/informer"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/snapshot"
 )
 
 // lapse is how long a target stays in use whose entry went while the store was away; a live target is back in the
@@ -56,35 +57,49 @@
 	back map[string]time.Time
 	// raw is the objects that were read, by kind and name, for nodes that start while the store is away.
 	raw map[string]object.List
+	// lastHeard is when the store last answered, by kind.
+	lastHeard map[string]time.Time
+
+	// hub passes changes on to the nodes that this one relays to.
+	hub snapshot.Hub
+	tap tap
 }
 
 func newPicture(cfg Config) *picture {
-	p := &picture{cfg: cfg, out: map[string]bool{}, nodes: map[string]roster.Node{}, lost: map[string]bool{}, back: map[string]time.Time{}, raw: map[string]object.List{}}
+	p := &picture{cfg: cfg, out: map[string]bool{}, nodes: map[string]roster.Node{}, lost: map[string]bool{}, back: map[string]time.Time{}, raw: map[string]object.List{}, lastHeard: map[string]time.Time{}, tap: newTap()}
 	p.roster.Store(roster.New())
 	return p
 }
 
 func (p *picture) follow(ctx context.Context, kind string, replace func(object.List), apply func(object.Event)) {
 	informer.New(informer.Config{
-		Store: p.cfg.Store, Kind: kind,
-		Replace: func(l object.List) {
-			p.listing.Lock()
-			defer p.listing.Unlock()
-			p.keep(kind, l)
-			replace(l)
-		},
-		Apply: func(e object.Event) {
-			p.listing.Lock()
-			defer p.listing.Unlock()
-			p.change(kind, e)
-			apply(e)
-		},
-		Heard:  func() { p.heard(kind) },
-		Failed: func(err error) { p.failed(kind, err) },
-		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Store: tapped{Store: p.cfg.Store, tap: &p.tap}, Kind: kind,
+		Replace: func(l object.List) { p.replace(kind, l, replace) },
+		Apply:   func(e object.Event) { p.apply(kind, e, apply) },
+		Heard:   func() { p.heard(kind) },
+		Failed:  func(err error) { p.failed(kind, err) },
+		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}).Run(ctx)
 }
 
+// replace takes a list over, and passes it on.
+func (p *picture) replace(kind string, l object.List, to func(object.List)) {
+	p.listing.Lock()
+	defer p.listing.Unlock()
+	p.keep(kind, l)
+	p.hub.Publish(snapshot.Change{Lists: map[string]object.List{kind: l}})
+	to(l)
+}
+
+// apply takes a change over, and passes it on.
+func (p *picture) apply(kind string, e object.Event, to func(object.Event)) {
+	p.listing.Lock()
+	defer p.listing.Unlock()
+	p.change(kind, e)
+	p.hub.Publish(snapshot.Change{Kind: kind, Event: e})
+	to(e)
+}
+
 // keep remembers a list as it was read.
 func (p *picture) keep(kind string, l object.List) {
 	p.mu.Lock()
@@ -104,13 +119,30 @@
 	p.raw[kind] = object.List{Version: max(l.Version, e.Object.Version), Items: items}
 }
 
-// lists gives what was read, by kind.
-func (p *picture) lists() map[string]object.List {
+// Lists gives what was read, by kind.
+func (p *picture) Lists() map[string]object.List {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return maps.Clone(p.raw)
 }
 
+// Subscribe gives what was read and every change after it.
+func (p *picture) Subscribe() (map[string]object.List, <-chan snapshot.Change, func()) {
+	p.listing.Lock()
+	defer p.listing.Unlock()
+	ch := p.hub.Subscribe()
+	return p.Lists(), ch, func() { p.hub.Leave(ch) }
+}
+
+// Age is how long the store has not been heard of configuration or targets.
+func (p *picture) Age() time.Duration {
+	now := p.cfg.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := p.cfg.Platform
+	return max(now.Sub(p.lastHeard[k.Config]), now.Sub(p.lastHeard[k.Targets]))
+}
+
 // adopt takes another node's lists for the kinds that the store has not given yet.
 func (p *picture) adopt(from string, lists map[string]object.List) {
 	p.listing.Lock()
@@ -133,6 +165,7 @@
 func (p *picture) heard(kind string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lastHeard[kind] = p.cfg.Now()
 	if p.lost[kind] {
 		p.lost[kind] = false
 		p.back[kind] = p.cfg.Now()
@@ -142,6 +175,9 @@
 
 // failed notes that the store does not answer.
 func (p *picture) failed(kind string, err error) {
+	if errors.Is(err, errAttached) || errors.Is(err, errDetached) {
+		return
+	}
 	if errors.Is(err, object.ErrGone) {
 		p.cfg.Log.WithField("kind", kind).Info("store: history is gone, the list is read again")
 		return
--- /dev/null
+++ b/internal/operator/deployment/tap.go
@@ -0,0 +1,220 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/relay"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/snapshot"
+)
+
+const (
+	// relayLook is how often a node looks for a relay while it has none, firstLook how soon after its start: all
+	// nodes of a deployment start in about 300 ms and are listed a little later.
+	relayLook = 2 * time.Second
+	firstLook = 900 * time.Millisecond
+)
+
+// The ends of a watch that are no failures of the store.
+var (
+	// errAttached ends a watch of the store since a relay tells of changes now.
+	errAttached = merry.Sentinel("a relay tells of changes")
+	// errDetached asks for the list, since the relay no longer tells of changes.
+	errDetached = fmt.Errorf("the relay is lost: %w", object.ErrGone)
+	// errStale ends a relay that is silent or has not heard the store for too long.
+	errStale = merry.Sentinel("relay is not fresh")
+)
+
+// tap says where changes come from: the store or a relay.
+type tap struct {
+	mu       sync.Mutex
+	attached bool
+	changed  chan struct{}
+}
+
+func newTap() tap { return tap{changed: make(chan struct{})} }
+
+func (t *tap) mode() (attached bool, changed <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.attached, t.changed
+}
+
+// set switches to a relay or to the store; it tells whether that is a change.
+func (t *tap) set(attached bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.attached == attached {
+		return false
+	}
+	t.attached = attached
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return true
+}
+
+// tapped is the store, whose watches rest while a relay tells of changes.
+type tapped struct {
+	object.Store
+	tap *tap
+}
+
+// Watch watches the store, or waits until the relay is lost.
+func (t tapped) Watch(ctx context.Context, kind string, version uint64, handle func(object.Event)) error {
+	attached, changed := t.tap.mode()
+	if attached {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+			return errDetached
+		}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-changed:
+			cancel(errAttached)
+		case <-ctx.Done():
+		}
+	}()
+	err := t.Store.Watch(ctx, kind, version, handle)
+	if errors.Is(context.Cause(ctx), errAttached) {
+		return errAttached
+	}
+	return err
+}
+
+// relayed follows a relay whenever there is one to be believed, and else leaves the node to the store.
+func (p *picture) relayed(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(firstLook + rand.N(firstLook/4)):
+	}
+	for ctx.Err() == nil {
+		for _, r := range p.relays() {
+			err := p.attach(ctx, r)
+			p.cfg.Log.WithError(err).WithField("relay", r.Name).Info("relay: lost")
+			if errors.Is(err, errStale) {
+				break
+			}
+		}
+		if p.tap.set(false) {
+			p.cfg.Log.Info("relay: none is left, the store is read")
+		}
+		// Spread, so that not all nodes of a lost relay come back to it in one moment.
+		select {
+		case <-ctx.Done():
+		case <-time.After(relayLook/2 + rand.N(relayLook)):
+		}
+	}
+}
+
+func (p *picture) relays() []roster.Node {
+	if !p.listed.Load() || p.table.Load() == nil {
+		return nil
+	}
+	r := p.roster.Load()
+	var nodes []roster.Node
+	for _, name := range r.Nodes() {
+		n, _ := r.Node(name)
+		nodes = append(nodes, n)
+	}
+	return relay.Pick(p.cfg.Settings.Name, nodes)
+}
+
+// attach takes over what one relay tells until it ends or is no longer fresh.
+func (p *picture) attach(ctx context.Context, r roster.Node) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var mu sync.Mutex
+	var word relay.Word
+	check := time.AfterFunc(time.Hour, func() {})
+	defer func() { check.Stop() }()
+	err := snapshot.Follow(ctx, r.Address, func(c snapshot.Change, age time.Duration) error {
+		now := p.cfg.Now()
+		mu.Lock()
+		word = relay.Word{Heard: now, Age: age}
+		mu.Unlock()
+		if !word.Fresh(now) {
+			return errStale
+		}
+		check.Stop()
+		check = time.AfterFunc(word.Until(now), func() { cancel(errStale) })
+		p.take(c)
+		if c.Lists != nil && p.tap.set(true) {
+			p.cfg.Log.WithFields(logrus.Fields{"relay": r.Name, "age_ms": age.Milliseconds()}).Info("relay: followed")
+		}
+		return nil
+	})
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// take takes over what a relay tells.
+func (p *picture) take(c snapshot.Change) {
+	k := p.cfg.Platform
+	for kind, l := range c.Lists {
+		p.heard(kind)
+		switch kind {
+		case k.Config:
+			p.merge(kind, l, p.replaceConfig)
+		case k.Targets:
+			p.merge(kind, l, p.replaceTargets)
+		case k.Out:
+			p.merge(kind, l, p.replaceOut)
+		case k.Nodes:
+			p.merge(kind, l, p.replaceNodes)
+		}
+	}
+	switch c.Kind {
+	case k.Config:
+		p.event(c.Kind, c.Event, p.applyConfig)
+	case k.Targets:
+		p.event(c.Kind, c.Event, p.applyTarget)
+	case k.Out:
+		p.event(c.Kind, c.Event, p.applyOut)
+	case k.Nodes:
+		p.event(c.Kind, c.Event, p.applyNode)
+	}
+}
+
+// merge joins a relay's list with what the node knows, which may be newer.
+func (p *picture) merge(kind string, l object.List, to func(object.List)) {
+	p.listing.Lock()
+	defer p.listing.Unlock()
+	p.mu.Lock()
+	own := p.raw[kind]
+	p.mu.Unlock()
+	l = relay.Merge(own, l)
+	p.keep(kind, l)
+	to(l)
+}
+
+// event takes a relay's event over unless the node knows a newer version of the object.
+func (p *picture) event(kind string, e object.Event, to func(object.Event)) {
+	p.listing.Lock()
+	defer p.listing.Unlock()
+	p.mu.Lock()
+	own := p.raw[kind]
+	p.mu.Unlock()
+	for _, o := range own.Items {
+		if o.Name == e.Object.Name && o.Version > e.Object.Version {
+			return
+		}
+	}
+	p.change(kind, e)
+	to(e)
+}
--- a/internal/operator/settings/deployment.go
+++ b/internal/operator/settings/deployment.go
@@ -20,6 +20,8 @@
 	// Memory is in bytes, Files a number of descriptors.
 	Memory int64
 	Files  int
+	// Link is the width of the machine's link, in megabits a second.
+	Link float64
 	// Leave is how long a target serves on after it has said that it leaves.
 	Leave time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
--- a/internal/wire/snapshot/snapshot.go
+++ b/internal/wire/snapshot/snapshot.go
@@ -22,8 +22,15 @@
 	maxBytes = 16 << 20
 )
 
-// Source gives the lists that a node has read, by kind.
-type Source func() map[string]object.List
+// Source is what a node has read of the store.
+type Source interface {
+	// Lists gives the lists by kind.
+	Lists() map[string]object.List
+	// Subscribe gives the lists and every change after them until leave is called.
+	Subscribe() (lists map[string]object.List, changes <-chan Change, leave func())
+	// Age is how long the store has not been heard.
+	Age() time.Duration
+}
 
 type server struct {
 	snapshotpb.UnimplementedSnapshotServer
@@ -37,15 +44,19 @@
 
 // Read gives what this node has read.
 func (s server) Read(context.Context, *snapshotpb.Request) (*snapshotpb.Lists, error) {
+	return toLists(s.source.Lists()), nil
+}
+
+func toLists(lists map[string]object.List) *snapshotpb.Lists {
 	out := &snapshotpb.Lists{}
-	for kind, l := range s.source() {
+	for kind, l := range lists {
 		m := &snapshotpb.List{Kind: kind, Version: l.Version}
 		for _, o := range l.Items {
 			m.Objects = append(m.Objects, &snapshotpb.Object{Name: o.Name, Version: o.Version, Value: o.Value})
 		}
 		out.Lists = append(out.Lists, m)
 	}
-	return out, nil
+	return out
 }
 
 // Read asks the node at an address for its snapshot.
@@ -67,6 +78,10 @@
 	if err != nil {
 		return nil, merry.Prependf(err, "snapshot of %s", address)
 	}
+	return fromLists(m), nil
+}
+
+func fromLists(m *snapshotpb.Lists) map[string]object.List {
 	lists := map[string]object.List{}
 	for _, l := range m.Lists {
 		list := object.List{Version: l.Version}
@@ -75,5 +90,5 @@
 		}
 		lists[l.Kind] = list
 	}
-	return lists, nil
+	return lists
 }
