Give up at once what others have pushed back too far

Ruled out: refusing on arrival alone (what pushes a piece back comes later).

Change: at every look the queue works out when each piece would begin; a group that would begin too late is given up whole.

--- a/internal/serving/batch/queue.go
+++ b/internal/serving/batch/queue.go
@@ -70,6 +70,72 @@
 	return late
 }
 
+// Hopeless removes and gives the pieces that will not begin in time by what waits before them.
+//
+// It answers a burst that goes on: what came later and is more urgent pushes others back, and those are better told
+// at once than kept until their time is over.
+func (q *Queue) Hopeless(now time.Time, b route.Batch, free []time.Time) []Piece {
+	if len(free) == 0 || b.Size == 0 || len(q.pieces) <= b.Size*len(free) {
+		return nil
+	}
+	sort.SliceStable(q.pieces, func(i, j int) bool { return before(q.pieces[i], q.pieces[j], now, "") })
+	calls := newCalls(now, b, free)
+	var out []Piece
+	kept := q.pieces[:0]
+	for _, p := range q.pieces {
+		if calls.start().After(p.Last) {
+			out = append(out, p)
+			continue
+		}
+		calls.add()
+		kept = append(kept, p)
+	}
+	q.pieces = kept
+	return out
+}
+
+// calls works out when the calls of targets begin if each is filled.
+type calls struct {
+	b     route.Batch
+	free  []time.Time
+	at    int
+	count int
+}
+
+func newCalls(now time.Time, b route.Batch, free []time.Time) *calls {
+	c := &calls{b: b, free: make([]time.Time, len(free))}
+	for i, f := range free {
+		c.free[i] = f
+		if f.Before(now) {
+			c.free[i] = now
+		}
+	}
+	c.next()
+	return c
+}
+
+func (c *calls) next() {
+	c.at, c.count = 0, 0
+	for i := range c.free {
+		if c.free[i].Before(c.free[c.at]) {
+			c.at = i
+		}
+	}
+}
+
+// start is when the call begins that the next piece is in.
+func (c *calls) start() time.Time { return c.free[c.at] }
+
+// add puts a piece into the call.
+func (c *calls) add() {
+	c.count++
+	if c.count < c.b.Size {
+		return
+	}
+	c.free[c.at] = c.free[c.at].Add(c.b.Took(c.b.Size))
+	c.next()
+}
+
 // Take removes and gives the pieces of the next call: at most size of them, whose results fit into room bytes.
 //
 // It answers a burst in which more is asked for than the targets can do. Pieces of requests that can still meet
@@ -142,23 +208,11 @@
 			ahead++
 		}
 	}
-	at := make([]time.Time, len(free))
-	for i, f := range free {
-		at[i] = f
-		if f.Before(now) {
-			at[i] = now
-		}
-	}
+	calls := newCalls(now, b, free)
 	start := now
-	for left := ahead + n; left > 0; left -= b.Size {
-		first := 0
-		for i := range at {
-			if at[i].Before(at[first]) {
-				first = i
-			}
-		}
-		start = at[first]
-		at[first] = start.Add(b.Took(b.Size))
+	for range ahead + n {
+		start = calls.start()
+		calls.add()
 	}
 	return start, true
 }
--- a/internal/serving/batch/queue_test.go
+++ b/internal/serving/batch/queue_test.go
@@ -109,3 +109,27 @@
 		t.Error("got a start without targets, want none")
 	}
 }
+
+// TestGivesUpWhatOthersPushBack replays a burst that goes on: ten pieces wait for one target, and the less urgent ones
+// cannot begin before their callers leave.
+func TestGivesUpWhatOthersPushBack(t *testing.T) {
+	b := route.Batch{Size: 2, Call: 200 * time.Millisecond}
+	var q Queue
+	for i := range 10 {
+		p := Piece{Request: string(rune('a' + i)), Prompt: at(5000), Last: at(900), Priority: i % 2}
+		q.Add(p)
+	}
+	got := names(q.Hopeless(start, b, []time.Time{at(100)}))
+	// Calls begin at 100, 300, 500, 700 and 900 ms; two pieces fit into each.
+	if want := ""; got != want {
+		t.Errorf("gave up %q, want %q", got, want)
+	}
+	got = names(q.Hopeless(start, b, []time.Time{at(400)}))
+	// Calls begin at 400, 600 and 800 ms.
+	if want := "dfhj"; got != want {
+		t.Errorf("gave up %q, want the least urgent, %q", got, want)
+	}
+	if got, want := q.Len(), 6; got != want {
+		t.Errorf("%d pieces wait on, want %d", got, want)
+	}
+}
--- a/internal/wire/desk/desk.go
+++ b/internal/wire/desk/desk.go
@@ -312,6 +312,9 @@
 // dispatch begins the calls that can begin; the lock is held.
 func (d *Desk) dispatch(now time.Time, q *queue, terms route.Batch) {
 	d.expire(now, q)
+	for _, p := range q.waiting.Hopeless(now, terms, q.free(now)) {
+		d.giveUp(q, p.Group)
+	}
 	clear(q.passed)
 	for q.waiting.Len() > 0 {
 		l := q.next(now, terms)
@@ -546,8 +549,20 @@
 // expire ends the pieces that wait for nothing; the lock is held.
 func (d *Desk) expire(now time.Time, q *queue) {
 	for _, p := range q.waiting.Expire(now) {
-		if g := d.groups[p.Group]; g != nil && !g.done[p.Segment] {
-			d.finish(g, p.Segment, Result{Reason: Late})
+		d.giveUp(q, p.Group)
+	}
+}
+
+// giveUp ends a group at once, of which one piece cannot be made in time: the others alone are of no use.
+func (d *Desk) giveUp(q *queue, id uint64) {
+	g := d.groups[id]
+	if g == nil {
+		return
+	}
+	q.waiting.Drop(id)
+	for i := range g.done {
+		if !g.done[i] {
+			d.finish(g, i, Result{Reason: Late})
 		}
 	}
 }
