Wait for slow calls whose inputs are freed

Calls of slow targets were taken for stuck and their pieces sent elsewhere, where the inputs had been freed: the group ended as "gone" (113 of them) while the first call still ran.

Ruled out: keeping inputs until the call's end (room is what binds then).

Change: only pieces without inputs are sent elsewhere when a call is overdue, and no piece ends without a result while it is in another call.

Figures: TestWaitsForASlowCallWhoseInputsAreFreed failed, passes.

--- a/internal/wire/desk/desk.go
+++ b/internal/wire/desk/desk.go
@@ -124,6 +124,8 @@
 	// inputs of all.
 	unsent int
 	begun  chan struct{}
+	// flying counts the calls that each piece is in.
+	flying []int
 }
 
 // lane is what the desk knows of one target.
@@ -180,7 +182,7 @@
 		return nil, err
 	}
 	d.last++
-	x := &group{Group: g, id: d.last, results: make([]Result, g.Count), done: make([]bool, g.Count), left: g.Count, ready: make(chan struct{}), unsent: g.Count, begun: make(chan struct{})}
+	x := &group{Group: g, id: d.last, results: make([]Result, g.Count), done: make([]bool, g.Count), left: g.Count, ready: make(chan struct{}), unsent: g.Count, begun: make(chan struct{}), flying: make([]int, g.Count)}
 	d.groups[x.id] = x
 	for i := range g.Count {
 		q.waiting.Add(x.piece(i, 0))
@@ -332,6 +334,9 @@
 		l.freeAt = now.Add(expected)
 		for _, p := range pieces {
 			l.used += p.Bytes
+			if g := d.groups[p.Group]; g != nil {
+				g.flying[p.Segment]++
+			}
 			if p.Tries == 0 {
 				d.cfg.Sent(now, q.service)
 				d.sent(p.Group)
@@ -431,6 +436,9 @@
 	l.busy = false
 	for _, p := range pieces {
 		l.used -= p.Bytes
+		if g := d.groups[p.Group]; g != nil {
+			g.flying[p.Segment]--
+		}
 	}
 	if err != nil {
 		d.failed(now, q, l, pieces, err)
@@ -479,6 +487,9 @@
 	if g == nil || g.done[p.Segment] {
 		return
 	}
+	if r.Reason != Made && d.elsewhere(p) {
+		return
+	}
 	if r.Reason == Full && !now.After(p.Last) {
 		q.waiting.Add(p)
 		return
@@ -520,7 +531,7 @@
 	}).Warn("desk: stage call failed")
 	for _, p := range pieces {
 		g := d.groups[p.Group]
-		if g == nil || g.done[p.Segment] {
+		if g == nil || g.done[p.Segment] || d.elsewhere(p) {
 			continue
 		}
 		if !d.again(now, q, p) {
@@ -529,14 +540,21 @@
 	}
 }
 
-// overdue sends the pieces of a call that seems stuck elsewhere; whichever result comes first counts.
+// elsewhere tells whether a piece is in another call still, which may bring its result; the lock is held.
+func (d *Desk) elsewhere(p batch.Piece) bool {
+	g := d.groups[p.Group]
+	return g != nil && g.flying[p.Segment] > 0
+}
+
+// overdue sends the pieces of a call that seems stuck elsewhere; whichever result comes first counts. Pieces with
+// inputs are left where they are: once a target has fetched those they are freed.
 func (d *Desk) overdue(q *queue, l *lane, terms route.Batch, pieces []batch.Piece) {
 	now := d.cfg.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	sent := 0
 	for _, p := range pieces {
-		if g := d.groups[p.Group]; g != nil && !g.done[p.Segment] && d.again(now, q, p) {
+		if g := d.groups[p.Group]; g != nil && !g.done[p.Segment] && len(p.Inputs) == 0 && d.again(now, q, p) {
 			sent++
 		}
 	}
--- a/internal/wire/desk/desk_test.go
+++ b/internal/wire/desk/desk_test.go
@@ -276,3 +276,27 @@
 		t.Errorf("second call came %s after the one without room, want at least %s", got, want)
 	}
 }
+
+// TestWaitsForASlowCallWhoseInputsAreFreed replays a target that turns slow: a second call for its pieces would find
+// their inputs gone, while the first still brings its results.
+func TestWaitsForASlowCallWhoseInputsAreFreed(t *testing.T) {
+	f := &fakeCaller{}
+	f.run = func(n int, x roster.Target, pieces []batch.Piece) ([]Result, error) {
+		if n == 1 {
+			time.Sleep(600 * time.Millisecond)
+			return f.made(x, pieces), nil
+		}
+		out := make([]Result, len(pieces))
+		for i := range out {
+			out[i].Reason = Gone
+		}
+		return out, nil
+	}
+	d := newTestDesk(f, target("t1", "a"), target("t2", "a"))
+	g := testGroup("r", 2, 1)
+	g.Key, g.Inputs = "", []string{"t9:1/1"}
+	out, err := d.Produce(context.Background(), g, noNotice)
+	if err != nil || out[0].Reason != Made || out[1].Reason != Made {
+		t.Errorf("got %v (%v), want the results of the slow call", out, err)
+	}
+}
