Notice a desk that has fallen silent within a second

Pieces that were queued at the desk of a node that froze waited until their last useful moment; an answer of the desk was expected only then.

Ruled out: keep-alive probes (a frozen node's kernel answers them).

Change: a desk says every 300 ms that it works on a group; after 900 ms without a word another desk is asked.

--- a/internal/wire/desk/desk.go
+++ b/internal/wire/desk/desk.go
@@ -35,6 +35,8 @@
 	// fetchTime is how long a target takes at most from the start of a call to have fetched the inputs of its pieces:
 	// a few round trips and some megabytes over a link of gigabits.
 	fetchTime = 40 * time.Millisecond
+	// aliveEvery is how often a desk says that it still works on a group.
+	aliveEvery = 300 * time.Millisecond
 	// fullSteps is into how many looks the time is cut that unknown results may stay at a full target.
 	fullSteps = 8
 	// sendMargin is the time that a call and its answer spend on the way.
@@ -169,6 +171,8 @@
 	Queued func(wait time.Duration)
 	// Begun is called once the inputs of the group are no longer needed, unless a call fails.
 	Begun func()
+	// Alive is called every aliveEvery while the group waits; it may be nil.
+	Alive func()
 }
 
 // Produce queues a group and waits for its results.
@@ -191,6 +195,8 @@
 	d.mu.Unlock()
 	n.Queued(wait)
 	begun := x.begun
+	alive := time.NewTicker(aliveEvery)
+	defer alive.Stop()
 	expire := time.NewTimer(g.Last.Sub(now) + time.Millisecond)
 	defer expire.Stop()
 	for {
@@ -200,6 +206,10 @@
 		case <-begun:
 			begun = nil
 			n.Begun()
+		case <-alive.C:
+			if n.Alive != nil {
+				n.Alive()
+			}
 		case <-expire.C:
 			d.mu.Lock()
 			d.expire(d.cfg.Now(), q)
--- a/internal/wire/desk/server.go
+++ b/internal/wire/desk/server.go
@@ -16,6 +16,7 @@
 const (
 	queued  state = "queued"
 	begun   state = "begun"
+	alive   state = "alive"
 	refused state = "refused"
 	done    state = "done"
 )
@@ -38,6 +39,7 @@
 			_ = out.Send(&deskpb.Progress{State: string(queued), WaitUs: wait.Microseconds()})
 		},
 		Begun: func() { _ = out.Send(&deskpb.Progress{State: string(begun)}) },
+		Alive: func() { _ = out.Send(&deskpb.Progress{State: string(alive)}) },
 	})
 	var r *Refused
 	if errors.As(err, &r) {
--- a/internal/wire/desk/switchboard.go
+++ b/internal/wire/desk/switchboard.go
@@ -25,8 +25,8 @@
 	shardFrom = 9
 	// ackTimeout is how long a desk may take to say that a group is queued: several round trips.
 	ackTimeout = 300 * time.Millisecond
-	// doneMargin is how long after the last useful moment a desk may stay without a word.
-	doneMargin = 300 * time.Millisecond
+	// silence is how long a desk may then stay without a word, three times the time between two.
+	silence = 3 * aliveEvery
 	// shunFor is how long a node that did not answer is passed over at first; it doubles up to shunMax, so that
 	// the entry of a node that is gone for good costs little.
 	shunFor = 2 * time.Second
@@ -211,8 +211,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(ackTimeout, func() { cancel(errSilent) })
-	defer silence.Stop()
+	silent := time.AfterFunc(ackTimeout, func() { cancel(errSilent) })
+	defer silent.Stop()
 	stream, err := client.Produce(ctx, toMessage(now, g))
 	if err != nil {
 		return nil, err
@@ -225,9 +225,9 @@
 			}
 			return nil, err
 		}
+		silent.Reset(silence)
 		switch state(p.State) {
-		case queued:
-			silence.Reset(g.Last.Sub(now) + doneMargin + s.longest(g.Service))
+		case queued, alive:
 		case begun:
 			freed()
 		case refused:
@@ -242,12 +242,6 @@
 	}
 }
 
-// longest is how long the last call of a group may run.
-func (s *Switchboard) longest(service string) time.Duration {
-	terms, _ := s.cfg.Desk.terms(service)
-	return time.Duration(overdueFactor * float64(terms.Took(terms.Size)))
-}
-
 // Free gives results up at the desk that keeps them.
 func (s *Switchboard) Free(node string, handles []string) {
 	if len(handles) == 0 {
