Spread over other data centres what one cannot take

With a data centre taken out, all its nodes sent their pieces to the first of the others: 1973 refusals as full, while two more had room.

Ruled out: one desk for all targets of a large fleet (one node of 0.2 cores would carry the pieces of all).

Change: a request's pieces go to the data centre's own shard, or to one chosen by a hash of the request and weighted by targets; a second shard is asked before a request is refused as full.

--- a/internal/wire/desk/switchboard.go
+++ b/internal/wire/desk/switchboard.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,18 +83,31 @@
 	Results []Result
 }
 
-// Shard gives the shard of a service that work from a data centre goes to.
-func Shard(r *roster.Roster, service, datacentre string) string {
+// Shards gives the shards of a service that a request's pieces may go to, best first. A small service has one shard.
+//
+// It answers a large fleet of which a data centre is taken out or overrun: what its shard cannot take is spread over
+// the targets of the others, by a hash of the request.
+func Shards(r *roster.Roster, service, datacentre, request string) []string {
 	list := r.Usable(service)
 	if len(list) < shardFrom {
-		return ""
+		return []string{""}
 	}
+	at := make(map[string]string, len(list))
+	ids := make([]string, 0, len(list))
+	var shards []string
 	for _, t := range list {
-		if t.Datacentre == datacentre {
-			return datacentre
+		at[t.ID] = t.Datacentre
+		ids = append(ids, t.ID)
+		if t.Datacentre == datacentre && len(shards) == 0 {
+			shards = append(shards, datacentre)
 		}
 	}
-	return list[0].Datacentre
+	for _, id := range placement.Rank(request, ids) {
+		if !slices.Contains(shards, at[id]) {
+			shards = append(shards, at[id])
+		}
+	}
+	return shards
 }
 
 // desk gives the node whose desk fills the calls of a shard.
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -110,7 +110,7 @@
 func (g *Gateway) stage(ctx context.Context, j *job, c *chain, i int, ready []chan struct{}, tail time.Duration, home string) error {
 	s := j.route.Stages[i]
 	group := desk.Group{
-		Service: s.Service, Shard: desk.Shard(g.cfg.Roster(), s.Service, g.cfg.Datacentre), Request: j.ID, Stage: i,
+		Service: s.Service, Request: j.ID, Stage: i,
 		Bytes: s.Bytes, Priority: j.priority(), Prompt: j.aim.Add(-tail), Last: j.first.Add(-tail),
 	}
 	if i < len(j.Pieces) {
@@ -138,7 +138,7 @@
 		group.Key = j.PieceKey
 	}
 	group.Home, group.Weight = c.home(j.route.Stages, i, home)
-	out, err := g.cfg.Desks.Produce(ctx, group, func() { g.free(c.fetched(j.route.Stages, i)) })
+	out, err := g.produce(ctx, group, func() { g.free(c.fetched(j.route.Stages, i)) })
 	if err != nil {
 		return err
 	}
@@ -158,6 +158,22 @@
 	return missing
 }
 
+// maxShards is how many shards are asked for one group: a second one, if the first is full.
+const maxShards = 2
+
+// produce has a group made by the first shard of its service that takes it.
+func (g *Gateway) produce(ctx context.Context, group desk.Group, begun func()) (out desk.Output, err error) {
+	shards := desk.Shards(g.cfg.Roster(), group.Service, g.cfg.Datacentre, group.Request)
+	for _, group.Shard = range shards[:min(maxShards, len(shards))] {
+		out, err = g.cfg.Desks.Produce(ctx, group, begun)
+		var full *desk.Refused
+		if !errors.As(err, &full) {
+			return out, err
+		}
+	}
+	return out, err
+}
+
 // home gives where the pieces of a stage are best made: every piece fetches all inputs of the stage, and its result is
 // fetched by every piece of the stages behind it, or once by the target in the data centre last.
 func (c *chain) home(stages []route.Stage, i int, last string) (datacentre string, weight int64) {
