Connect to nodes in one way, spread returns, and test the decisions

Cause: a newcomer's reading: three copies of one way to connect to a node, names that say nothing (side1), and decisions on cold targets, repeats, tails, placement and the bounded log without a test of their own. Refused callers were all told the same moment to come back.

--- a/internal/operator/deployment/deployment.go
+++ b/internal/operator/deployment/deployment.go
@@ -139,15 +139,15 @@
 	n.front = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHeader}
 	go n.serve("callers", func() error { return n.front.Serve(callers) })
 	ready := []rest.Route{{Method: http.MethodGet, Path: n.cfg.ReadyPath, Handler: n.ready}}
-	if err := n.side1(listen, "ready", s.Ready, ready); err != nil {
+	if err := n.serveSide(listen, "ready", s.Ready, ready); err != nil {
 		return err
 	}
 	metrics := []rest.Route{{Method: http.MethodGet, Path: "/metrics", Handler: n.meter.Handler().ServeHTTP}}
-	return n.side1(listen, "metrics", s.Metrics, metrics)
+	return n.serveSide(listen, "metrics", s.Metrics, metrics)
 }
 
-// side1 serves one of the small interfaces beside the callers'.
-func (n *Node) side1(listen func(string) (net.Listener, error), name, address string, routes []rest.Route) error {
+// serveSide serves one of the small interfaces beside the callers'.
+func (n *Node) serveSide(listen func(string) (net.Listener, error), name, address string, routes []rest.Route) error {
 	l, err := listen(address)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/serving/plan/plan_test.go
@@ -0,0 +1,38 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
+)
+
+func TestTails(t *testing.T) {
+	terms := route.Batch{Size: 10, Call: 200 * time.Millisecond, Piece: 10 * time.Millisecond}
+	s := Shape{
+		Stages: []route.Stage{{Service: "a"}, {Service: "b", After: []int{0}}, {Service: "c"}},
+		Pieces: []int{1, 20, 0},
+		Terms:  func(string) route.Batch { return terms },
+		Rest:   100 * time.Millisecond,
+	}
+	want := []time.Duration{210*time.Millisecond + 300*time.Millisecond + 100*time.Millisecond, 400 * time.Millisecond, 100 * time.Millisecond}
+	for i, got := range s.Tails() {
+		if got != want[i] {
+			t.Errorf("stage %d: got tail %s, want %s", i, got, want[i])
+		}
+	}
+}
+
+func TestReturnIsWhenTheRequestFits(t *testing.T) {
+	now := time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+	for _, c := range []struct {
+		wait, left, want time.Duration
+	}{
+		{5 * time.Second, 6 * time.Second, 2 * time.Second},
+		{0, time.Second, minReturn},
+	} {
+		if got := Return(now, c.wait, now.Add(c.left)); got != c.want {
+			t.Errorf("wait %s, %s left: got %s, want %s", c.wait, c.left, got, c.want)
+		}
+	}
+}
--- a/internal/wire/desk/desk_test.go
+++ b/internal/wire/desk/desk_test.go
@@ -63,7 +63,7 @@
 	return nil
 }
 
-func (f *fakeCaller) made1() []madeCall {
+func (f *fakeCaller) seen() []madeCall {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return append([]madeCall(nil), f.calls...)
@@ -107,7 +107,7 @@
 		}()
 	}
 	all.Wait()
-	if got, want := len(f.made1()), 4; got > want {
+	if got, want := len(f.seen()), 4; got > want {
 		t.Errorf("9 pieces took %d calls of up to 4, want at most %d", got, want)
 	}
 }
@@ -152,7 +152,7 @@
 		_, _ = d.Produce(context.Background(), testGroup("r2", 1, 400), noNotice)
 	}()
 	time.Sleep(100 * time.Millisecond)
-	if got, want := len(f.made1()), 1; got != want {
+	if got, want := len(f.seen()), 1; got != want {
 		t.Errorf("%d calls while the room is full, want %d", got, want)
 	}
 	d.Free(handles)
@@ -243,7 +243,7 @@
 		t.Errorf("got %v, want %v", err, context.Canceled)
 	}
 	time.Sleep(150 * time.Millisecond)
-	for _, c := range f.made1() {
+	for _, c := range f.seen() {
 		for _, p := range c.pieces {
 			if p.Request == "gone" {
 				t.Fatal("a piece was made though nobody waits for it")
@@ -271,7 +271,7 @@
 	if err != nil || out[0].Reason != Made || out[1].Reason != Made {
 		t.Fatalf("got %v (%v), want both pieces made in the end", out, err)
 	}
-	calls := f.made1()
+	calls := f.seen()
 	if got, want := calls[1].at.Sub(calls[0].at), testTerms.Keep/fullSteps; got < want {
 		t.Errorf("second call came %s after the one without room, want at least %s", got, want)
 	}
--- a/internal/wire/desk/switchboard.go
+++ b/internal/wire/desk/switchboard.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/placement"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
@@ -35,7 +33,7 @@
 	// maxDesks is how many desks are asked before the node does the work itself.
 	maxDesks = 2
 
-	peerDial     = 500 * time.Millisecond
+	minConnect   = 500 * time.Millisecond
 	minReconnect = 100 * time.Millisecond
 	maxReconnect = time.Second
 	freeCall     = time.Second
@@ -194,20 +192,12 @@
 	defer s.mu.Unlock()
 	conn, ok := s.conns[address]
 	if !ok {
-		dialer := link.Dialer(peerDial)
-		fresh, err := grpc.NewClient("passthrough:///"+address,
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithDisableServiceConfig(),
-			grpc.WithDisableRetry(),
-			grpc.WithIdleTimeout(0),
-			grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", a) }),
-			grpc.WithConnectParams(grpc.ConnectParams{
-				Backoff:           backoff.Config{BaseDelay: minReconnect, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnect},
-				MinConnectTimeout: peerDial,
-			}),
-		)
+		fresh, err := link.Node(address, grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: minReconnect, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnect},
+			MinConnectTimeout: minConnect,
+		}))
 		if err != nil {
-			return nil, merry.Prepend(err, "connect to node")
+			return nil, err
 		}
 		conn = fresh
 		s.conns[address] = conn
--- a/internal/wire/gateway/answer.go
+++ b/internal/wire/gateway/answer.go
@@ -61,7 +61,7 @@
 }
 
 // outcome is the answer as the outcome of a request whose other attempts bring nothing better.
-func (k kept) outcome(w http.ResponseWriter, _ *job) *outcome {
+func (k kept) outcome(w http.ResponseWriter) *outcome {
 	return &outcome{kind: answered, status: k.status, later: func() { k.send(w) }}
 }
 
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -256,7 +256,7 @@
 	if a.Status >= 500 && again {
 		kept, err := keep(a)
 		if err == nil {
-			return step{last: kept.outcome(s.w, j), ran: true, counts: true}
+			return step{last: kept.outcome(s.w), ran: true, counts: true}
 		}
 		return step{last: failure(http.StatusBadGateway, "answer was cut"), ran: true, counts: true}
 	}
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -152,7 +152,7 @@
 	if out == nil {
 		out = g.serve(w, r, j)
 	}
-	out.write(w, g.cfg.Now())
+	out.write(w)
 	g.report(j, out)
 	if out.abort {
 		panic(http.ErrAbortHandler)
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -54,7 +55,7 @@
 }
 
 // write sends an answer of our own.
-func (o *outcome) write(w http.ResponseWriter, _ time.Time) {
+func (o *outcome) write(w http.ResponseWriter) {
 	if o.written || o.abort {
 		return
 	}
@@ -65,13 +66,21 @@
 	h := w.Header()
 	h.Set("Content-Type", "text/plain")
 	if o.kind == refused {
-		h.Set("Retry-After", strconv.FormatFloat(max(o.retry, minRetry).Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(spread(max(o.retry, minRetry), rand.Float64()).Seconds(), 'f', 3, 64))
 	}
 	w.WriteHeader(o.status)
 	// A caller that is gone needs no answer.
 	_, _ = w.Write([]byte(o.reason + "\n"))
 }
 
+// returnSpread is the part of a return time over which those who are refused in one moment are spread.
+const returnSpread = 0.3
+
+// spread lengthens a return time; draw is uniform in [0, 1).
+func spread(d time.Duration, draw float64) time.Duration {
+	return d + time.Duration(returnSpread*draw*float64(d))
+}
+
 // minRetry keeps refused callers from coming back at once.
 const minRetry = 50 * time.Millisecond
 
--- /dev/null
+++ b/internal/wire/link/node.go
@@ -0,0 +1,27 @@
+package link
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// nodeDial bounds a new connection between nodes: several round trips inside a region.
+const nodeDial = 500 * time.Millisecond
+
+// Node makes a connection to another node that notices when its peer falls silent; it connects with the first call.
+func Node(address string, options ...grpc.DialOption) (*grpc.ClientConn, error) {
+	dialer := Dialer(nodeDial)
+	conn, err := grpc.NewClient("passthrough:///"+address, append([]grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithIdleTimeout(0),
+		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", a) }),
+	}, options...)...)
+	return conn, merry.Prependf(err, "connect to node %s", address)
+}
--- a/internal/wire/snapshot/follow.go
+++ b/internal/wire/snapshot/follow.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/link"
@@ -123,13 +121,7 @@
 
 // Follow calls on for every message of the node at an address until the stream ends or on gives an error.
 func Follow(ctx context.Context, address string, on func(c Change, age time.Duration) error) error {
-	dialer := link.Dialer(dialTimeout)
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDisableServiceConfig(),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxBytes)),
-		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", a) }),
-	)
+	conn, err := link.Node(address, grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxBytes)))
 	if err != nil {
 		return merry.Prependf(err, "follow %s", address)
 	}
--- a/internal/wire/snapshot/snapshot.go
+++ b/internal/wire/snapshot/snapshot.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/link"
@@ -17,7 +15,6 @@
 const (
 	// readTimeout bounds one question: a connection, and some megabytes over a link of ten megabits.
 	readTimeout = 2 * time.Second
-	dialTimeout = 500 * time.Millisecond
 	// maxBytes bounds one answer: a configuration of the store's largest object, and the entries of a large fleet.
 	maxBytes = 16 << 20
 )
@@ -63,13 +60,7 @@
 func Read(ctx context.Context, address string) (map[string]object.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	dialer := link.Dialer(dialTimeout)
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDisableServiceConfig(),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxBytes)),
-		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", a) }),
-	)
+	conn, err := link.Node(address, grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxBytes)))
 	if err != nil {
 		return nil, merry.Prependf(err, "snapshot of %s", address)
 	}
