--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -43,16 +43,15 @@
 func (g *Gateway) forward(ctx context.Context, r *http.Request, j *job, s *answer) *outcome {
 	tried := map[string]bool{}
 	last := refusal("service has no target that may be used", retrySoon)
-	ran := false
 	for unsent := 0; unsent < maxUnsent; {
 		now := g.cfg.Now()
 		if r.Context().Err() != nil {
 			return &outcome{kind: gone, reason: "caller left", abort: true}
 		}
 		if ctx.Err() != nil {
-			return g.timedOut(s, ran)
+			return g.timedOut(s, j.ran)
 		}
-		if j.sends >= j.route.Attempts || (ran && !j.route.Repeatable()) {
+		if j.sends >= j.route.Attempts || (j.ran && !j.route.Repeatable()) {
 			return last
 		}
 		t, ok := g.place(now, j, tried)
@@ -76,10 +75,7 @@
 			return st.out
 		}
 		last = st.last
-		ran = ran || st.ran
-		if ran && last.kind == refused {
-			last = failure(http.StatusBadGateway, last.reason)
-		}
+		j.ran = j.ran || st.ran
 	}
 	return last
 }
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -127,7 +127,9 @@
 	inputs []string
 	held   []held
 	sends  int
-	log    logrus.Fields
+	// ran says that a target may have run the request.
+	ran bool
+	log logrus.Fields
 }
 
 // held is results that one node's desk keeps.
@@ -253,6 +255,10 @@
 			out = g.forward(ctx, r, j, s)
 		}
 		out = s.ended(out)
+		if j.ran && out.kind == refused {
+			// A refusal says that the request has not run.
+			out.kind, out.status = failed, http.StatusBadGateway
+		}
 		if !out.inputGone {
 			return out
 		}
