--- /dev/null
+++ b/internal/operator/deployment/objects.go
@@ -0,0 +1,199 @@
+package deployment
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
+)
+
+// replaceConfig and applyConfig take a configuration into force, unless a higher one is.
+func (p *picture) replaceConfig(l object.List) {
+	for _, o := range l.Items {
+		p.config(o)
+	}
+}
+
+func (p *picture) applyConfig(e object.Event) {
+	if e.Type == object.Put {
+		p.config(e.Object)
+	}
+}
+
+func (p *picture) config(o object.Object) {
+	if o.Name != p.cfg.Platform.Main {
+		return
+	}
+	t, faults, err := p.cfg.Platform.Table(o.Value)
+	if err != nil {
+		p.cfg.Log.WithError(err).WithField("revision", o.Version).Error("configuration: cannot be read, the one before stays in force")
+		return
+	}
+	for _, f := range faults {
+		p.cfg.Log.WithField("version", t.Version).Warn("configuration: left out: " + f.String())
+	}
+	if now := p.table.Load(); now != nil && now.Version >= t.Version {
+		if now.Version > t.Version {
+			p.cfg.Log.WithFields(logrus.Fields{"version": t.Version, "in_force": now.Version}).Warn("configuration: older than the one in force")
+		}
+		return
+	}
+	p.table.Store(t)
+	p.cfg.Log.WithFields(logrus.Fields{"version": t.Version, "revision": o.Version, "routes": t.Routes()}).Info("configuration: in force")
+}
+
+func (p *picture) replaceTargets(l object.List) {
+	now := p.cfg.Now()
+	var list []roster.Target
+	for _, o := range l.Items {
+		t, err := p.cfg.Platform.Target(now, o)
+		if err != nil {
+			p.unreadable(o, err)
+			continue
+		}
+		list = append(list, t)
+	}
+	hold := p.hold(now)
+	p.set(func(r *roster.Roster) *roster.Roster { return r.WithTargets(list, hold) })
+	p.expire(now, hold)
+	p.listed.Store(true)
+	p.cfg.Log.WithFields(logrus.Fields{"targets": len(list), "revision": l.Version}).Info("fleet: targets listed")
+}
+
+func (p *picture) applyTarget(e object.Event) {
+	now := p.cfg.Now()
+	id := e.Object.Name
+	before, known := p.roster.Load().Target(id)
+	if e.Type == object.Delete {
+		p.removed(now, e.Object, before, known)
+		return
+	}
+	t, err := p.cfg.Platform.Target(now, e.Object)
+	if err != nil {
+		p.unreadable(e.Object, err)
+		p.set(func(r *roster.Roster) *roster.Roster { return r.WithoutTarget(id) })
+		return
+	}
+	p.set(func(r *roster.Roster) *roster.Roster { return r.WithTarget(t) })
+	if t.Cold(now) && !before.Cold(now) {
+		p.cfg.Log.WithFields(logrus.Fields{"target": id, "cold_ms": t.ColdUntil.Sub(now).Milliseconds(), "revision": e.Object.Version}).Info("fleet: target gets cold")
+	}
+	if !known || before.State != t.State || before.Address != t.Address || before.Born != t.Born {
+		p.cfg.Log.WithFields(logrus.Fields{
+			"target": id, "service": t.Service, "state": string(t.State), "address": t.Address, "revision": e.Object.Version,
+			"cold_ms": max(0, t.ColdUntil.Sub(now).Milliseconds()),
+		}).Info("fleet: target changed")
+	}
+}
+
+// removed takes a target out, at once unless its entry may have ended with the store.
+func (p *picture) removed(now time.Time, o object.Object, before roster.Target, known bool) {
+	if !known {
+		return
+	}
+	hold := p.hold(now)
+	if hold.IsZero() || before.State != roster.Ready {
+		p.set(func(r *roster.Roster) *roster.Roster { return r.WithoutTarget(o.Name) })
+	} else {
+		p.set(func(r *roster.Roster) *roster.Roster { return r.WithLapsed(o.Name, hold) })
+		p.expire(now, hold)
+	}
+	p.cfg.Log.WithFields(logrus.Fields{
+		"target": o.Name, "service": before.Service, "revision": o.Version, "held_ms": max(0, hold.Sub(now).Milliseconds()),
+	}).Info("fleet: target is gone")
+}
+
+// expire drops the targets that stay until hold, if they are not back by then.
+func (p *picture) expire(now, hold time.Time) {
+	if hold.IsZero() {
+		return
+	}
+	time.AfterFunc(hold.Sub(now), func() {
+		p.set(func(r *roster.Roster) *roster.Roster { return r.WithoutLapsed(p.cfg.Now()) })
+	})
+}
+
+func (p *picture) unreadable(o object.Object, err error) {
+	p.cfg.Log.WithError(err).WithFields(logrus.Fields{"object": o.Kind + "/" + o.Name, "revision": o.Version}).Warn("store: object cannot be read and names nothing")
+}
+
+func (p *picture) replaceOut(l object.List) {
+	p.mu.Lock()
+	p.out = map[string]bool{}
+	for _, o := range l.Items {
+		p.out[o.Name] = true
+	}
+	p.mu.Unlock()
+	p.setOut(l.Version)
+}
+
+func (p *picture) applyOut(e object.Event) {
+	p.mu.Lock()
+	if e.Type == object.Delete {
+		delete(p.out, e.Object.Name)
+	} else {
+		p.out[e.Object.Name] = true
+	}
+	p.mu.Unlock()
+	p.setOut(e.Object.Version)
+}
+
+func (p *picture) setOut(version uint64) {
+	p.mu.Lock()
+	names := make([]string, 0, len(p.out))
+	for n := range p.out {
+		names = append(names, n)
+	}
+	p.mu.Unlock()
+	p.set(func(r *roster.Roster) *roster.Roster { return r.WithOut(names) })
+	p.cfg.Log.WithFields(logrus.Fields{"out": p.roster.Load().Out(), "revision": version}).Info("fleet: data centres taken out")
+}
+
+func (p *picture) replaceNodes(l object.List) {
+	p.mu.Lock()
+	p.nodes = map[string]roster.Node{}
+	p.mu.Unlock()
+	for _, o := range l.Items {
+		p.node(o)
+	}
+	p.setNodes()
+}
+
+func (p *picture) applyNode(e object.Event) {
+	if e.Type == object.Delete {
+		p.mu.Lock()
+		delete(p.nodes, e.Object.Name)
+		p.mu.Unlock()
+		p.cfg.Log.WithFields(logrus.Fields{"node": e.Object.Name, "revision": e.Object.Version}).Info("fleet: node left")
+	} else {
+		p.node(e.Object)
+	}
+	p.setNodes()
+}
+
+func (p *picture) node(o object.Object) {
+	n, err := p.cfg.Platform.Node(o)
+	if err != nil {
+		p.unreadable(o, err)
+		return
+	}
+	p.mu.Lock()
+	before, known := p.nodes[n.Name]
+	p.nodes[n.Name] = n
+	p.mu.Unlock()
+	if !known || before != n {
+		p.cfg.Log.WithFields(logrus.Fields{"node": n.Name, "address": n.Address, "revision": o.Version}).Info("fleet: node joined")
+	}
+}
+
+func (p *picture) setNodes() {
+	p.mu.Lock()
+	list := make([]roster.Node, 0, len(p.nodes))
+	for _, n := range p.nodes {
+		list = append(list, n)
+	}
+	p.mu.Unlock()
+	p.set(func(r *roster.Roster) *roster.Roster { return r.WithNodes(list) })
+}
