Keep one table of the kinds a node follows, and drop what nothing reads

Cause: the whole change read again. Which function takes over a list or an event of which kind stood in four places (start, adopt and twice in take); the order of candidates repeated its first two comparisons; the usual times to a first byte lay in the map of the callers' waits under keys with a prefix; fields and counters that nothing reads (answer length and trailer, opened connections, two marks) were kept up, one of them under a lock for each new connection.

Change: picture.kinds, placing.sound and a map of their own; the rest is removed.

Conclusion: behaviour stays as it was.

--- a/internal/operator/deployment/deployment.go
+++ b/internal/operator/deployment/deployment.go
@@ -87,15 +87,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	p, k := n.picture, cfg.Platform
-	go p.follow(ctx, k.Config, p.replaceConfig, p.applyConfig)
-	go p.follow(ctx, k.Targets, p.replaceTargets, p.applyTarget)
-	go p.follow(ctx, k.Out, p.replaceOut, p.applyOut)
-	go p.follow(ctx, k.Nodes, p.replaceNodes, p.applyNode)
+	for kind, k := range n.picture.kinds() {
+		go n.picture.follow(ctx, kind, k)
+	}
 	go n.join(ctx)
 	go n.prune(ctx)
 	go n.catchUp(ctx)
-	go p.relayed(ctx)
+	go n.picture.relayed(ctx)
 	cfg.Log.WithFields(logrus.Fields{"node": cfg.Settings.Name, "datacentre": cfg.Settings.Datacentre, "address": cfg.Settings.Caller}).Info("node: started")
 	return n, nil
 }
--- a/internal/operator/deployment/follow.go
+++ b/internal/operator/deployment/follow.go
@@ -71,11 +71,28 @@
 	return p
 }
 
-func (p *picture) follow(ctx context.Context, kind string, replace func(object.List), apply func(object.Event)) {
+// followed is what takes over the objects of one kind.
+type followed struct {
+	replace func(object.List)
+	apply   func(object.Event)
+}
+
+// kinds gives every kind that a node follows.
+func (p *picture) kinds() map[string]followed {
+	k := p.cfg.Platform
+	return map[string]followed{
+		k.Config:  {p.replaceConfig, p.applyConfig},
+		k.Targets: {p.replaceTargets, p.applyTarget},
+		k.Out:     {p.replaceOut, p.applyOut},
+		k.Nodes:   {p.replaceNodes, p.applyNode},
+	}
+}
+
+func (p *picture) follow(ctx context.Context, kind string, k followed) {
 	informer.New(informer.Config{
 		Store: tapped{Store: p.cfg.Store, tap: &p.tap}, Kind: kind,
-		Replace: func(l object.List) { p.replace(kind, l, replace) },
-		Apply:   func(e object.Event) { p.apply(kind, e, apply) },
+		Replace: func(l object.List) { p.replace(kind, l, k.replace) },
+		Apply:   func(e object.Event) { p.apply(kind, e, k.apply) },
 		Heard:   func() { p.heard(kind) },
 		Failed:  func(err error) { p.failed(kind, err) },
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -147,15 +164,12 @@
 func (p *picture) adopt(from string, lists map[string]object.List) {
 	p.listing.Lock()
 	defer p.listing.Unlock()
-	k := p.cfg.Platform
-	for kind, replace := range map[string]func(object.List){
-		k.Targets: p.replaceTargets, k.Out: p.replaceOut, k.Nodes: p.replaceNodes, k.Config: p.replaceConfig,
-	} {
+	for kind, k := range p.kinds() {
 		p.mu.Lock()
 		_, read := p.raw[kind]
 		p.mu.Unlock()
 		if l, ok := lists[kind]; ok && !read {
-			replace(l)
+			k.replace(l)
 			p.cfg.Log.WithFields(logrus.Fields{"kind": kind, "from": from, "revision": l.Version, "objects": len(l.Items)}).Info("store: list taken from another node")
 		}
 	}
--- a/internal/operator/deployment/tap.go
+++ b/internal/operator/deployment/tap.go
@@ -165,29 +165,15 @@
 
 // take takes over what a relay tells.
 func (p *picture) take(c snapshot.Change) {
-	k := p.cfg.Platform
+	kinds := p.kinds()
 	for kind, l := range c.Lists {
 		p.heard(kind)
-		switch kind {
-		case k.Config:
-			p.merge(kind, l, p.replaceConfig)
-		case k.Targets:
-			p.merge(kind, l, p.replaceTargets)
-		case k.Out:
-			p.merge(kind, l, p.replaceOut)
-		case k.Nodes:
-			p.merge(kind, l, p.replaceNodes)
+		if k, ok := kinds[kind]; ok {
+			p.merge(kind, l, k.replace)
 		}
 	}
-	switch c.Kind {
-	case k.Config:
-		p.event(c.Kind, c.Event, p.applyConfig)
-	case k.Targets:
-		p.event(c.Kind, c.Event, p.applyTarget)
-	case k.Out:
-		p.event(c.Kind, c.Event, p.applyOut)
-	case k.Nodes:
-		p.event(c.Kind, c.Event, p.applyNode)
+	if k, ok := kinds[c.Kind]; ok {
+		p.event(c.Kind, c.Event, k.apply)
 	}
 }
 
--- a/internal/serving/call/call.go
+++ b/internal/serving/call/call.go
@@ -67,8 +67,6 @@
 	Inputs []string
 	// After resumes a stream behind an event, "" to begin it.
 	After string
-	// Priority is 0 for the most urgent.
-	Priority int
 }
 
 // Mark is what the header of a target's answer says.
@@ -77,8 +75,6 @@
 	Foreign bool
 	// NotRun says that the target did not run the request.
 	NotRun bool
-	// Elsewhere says that another target has the address.
-	Elsewhere bool
 	// Sealed answers carry the target's signature.
 	Sealed bool
 	// InputGone says that a result that the request needs is no longer there.
--- a/internal/serving/placing/placing.go
+++ b/internal/serving/placing/placing.go
@@ -57,24 +57,25 @@
 		}
 		return n
 	}
-	sorted := append([]Candidate(nil), list...)
-	sort.SliceStable(sorted, func(i, j int) bool {
-		a, b := sorted[i], sorted[j]
-		if a.Avoid != b.Avoid {
-			return !a.Avoid
-		}
-		if ca, cb := a.Target.Cold(now), b.Target.Cold(now); ca != cb {
-			return !ca
-		}
+	return sound(now, list, func(a, b Candidate) bool {
 		if ca, cb := cost(a), cost(b); ca != cb {
 			return ca < cb
 		}
 		return rank[a.Target.ID] < rank[b.Target.ID]
 	})
-	return sorted
 }
 
 func byLoad(now time.Time, ask Ask, list []Candidate) []Candidate {
+	return sound(now, list, func(a, b Candidate) bool {
+		if a.Running != b.Running {
+			return a.Running < b.Running
+		}
+		return a.Target.Datacentre == ask.Home && b.Target.Datacentre != ask.Home
+	})
+}
+
+// sound orders candidates by less, with cold ones and then those that failed lately behind the others.
+func sound(now time.Time, list []Candidate, less func(a, b Candidate) bool) []Candidate {
 	sorted := append([]Candidate(nil), list...)
 	sort.SliceStable(sorted, func(i, j int) bool {
 		a, b := sorted[i], sorted[j]
@@ -84,10 +85,7 @@
 		if ca, cb := a.Target.Cold(now), b.Target.Cold(now); ca != cb {
 			return !ca
 		}
-		if a.Running != b.Running {
-			return a.Running < b.Running
-		}
-		return a.Target.Datacentre == ask.Home && b.Target.Datacentre != ask.Home
+		return less(a, b)
 	})
 	return sorted
 }
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -155,7 +155,7 @@
 	req := link.Request{
 		Method: j.Method, URI: j.URI, Host: j.Host, Body: j.Body,
 		Header: g.cfg.Dialect.Forward(j.Call, call.Sending{
-			Target: t.ID, Team: j.team.Name, Left: j.end.Sub(started) + answerMargin, Inputs: j.inputs, After: after, Priority: j.priority(),
+			Target: t.ID, Team: j.team.Name, Left: j.end.Sub(started) + answerMargin, Inputs: j.inputs, After: after,
 		}),
 		Foreign: func(h http.Header) bool { return g.cfg.Dialect.Mark(j.ID, 0, h).Foreign },
 	}
@@ -277,19 +277,18 @@
 func (g *Gateway) firstSeen(j *job, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	key := "first " + j.service.Name
-	before, ok := g.waits[key]
+	before, ok := g.firsts[j.service.Name]
 	if !ok {
 		before = took
 	}
-	g.waits[key] = before + (took-before)/8
+	g.firsts[j.service.Name] = before + (took-before)/8
 }
 
 // first is the usual time from a send to the first byte of an answer.
 func (g *Gateway) first(j *job) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if d, ok := g.waits["first "+j.service.Name]; ok {
+	if d, ok := g.firsts[j.service.Name]; ok {
 		return d
 	}
 	return firstRest
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -43,8 +43,6 @@
 type Meter interface {
 	// Request counts a finished request by its route and outcome.
 	Request(pipeline, outcome, reason string, took time.Duration)
-	// Count adds to a counter.
-	Count(name string, n int64)
 }
 
 // Config is what a gateway is made of.
@@ -68,16 +66,18 @@
 	cfg   Config
 	loads loads
 
-	mu       sync.Mutex
-	windows  map[string]*budget.Window
+	mu      sync.Mutex
+	windows map[string]*budget.Window
+	// waits is the longest wait that callers named, by route; firsts the usual time to a first byte, by service.
 	waits    map[string]time.Duration
+	firsts   map[string]time.Duration
 	closing  bool
 	deadline time.Time
 }
 
 // New makes a gateway.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg, loads: newLoads(), windows: map[string]*budget.Window{}, waits: map[string]time.Duration{}}
+	return &Gateway{cfg: cfg, loads: newLoads(), windows: map[string]*budget.Window{}, waits: map[string]time.Duration{}, firsts: map[string]time.Duration{}}
 }
 
 // Close makes the gateway refuse the streams that could not end before a planned stop does.
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -63,11 +63,7 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Length is -1 if it is not known.
-	Length int64
 	Body   io.ReadCloser
-	// Trailer is filled once the body has been read.
-	Trailer http.Header
 }
 
 // Pool keeps connections to targets.
@@ -75,8 +71,6 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	dialer net.Dialer
-	// Opened counts new connections.
-	opened int64
 }
 
 // NewPool makes a pool without connections.
@@ -173,21 +167,11 @@
 	}
 }
 
-// Opened is the number of connections that were made.
-func (p *Pool) Opened() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	n, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, merry.Prepend(err, "dial")
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
 	return &conn{net: n, read: bufio.NewReaderSize(n, readBuffer), keep: idleDefault}, nil
 }
 
@@ -224,7 +208,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrCut, err)
 	}
 	b := &body{pool: p, address: address, conn: c, resp: resp, sent: sent, stop: stop}
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: b, Trailer: resp.Trailer}, nil
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: b}, nil
 }
 
 func (r Request) head() []byte {
