Keep the decisions on stage calls in serving/batch, apart from calls and locks

Cause: which target gets the next call, how much room it has and how long it is left alone were decided in wire/desk between locks and sockets, and could be replayed only through real time; batch.Piece and desk.Group had the same fields. Ruled out: moving the queue alone (the choice of target decides as much). Change: batch.Line holds the queue and the targets of a service and gives Calls; Group, Result, Reason and Refused are batch's; a Piece points to its group. wire/desk keeps the groups, the calls and the timers. No behaviour changes.

--- a/internal/wire/desk/group.go
+++ b/internal/serving/batch/group.go
@@ -1,4 +1,4 @@
-package desk
+package batch
 
 import (
 	"fmt"
@@ -28,6 +28,16 @@
 	Weight int64
 }
 
+// Piece is one unit of a group that waits for a target.
+type Piece struct {
+	*Group
+	// ID numbers the groups of one desk.
+	ID      uint64
+	Segment int
+	// Tries is how many calls the piece has been in.
+	Tries int
+}
+
 // Result is what became of one piece.
 type Result struct {
 	Handle     string
--- a/internal/serving/batch/queue.go
+++ b/internal/serving/batch/queue.go
@@ -7,30 +7,6 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 )
 
-// Piece is one unit of a stage that waits for a target.
-type Piece struct {
-	// Group numbers the pieces of one stage of one request.
-	Group   uint64
-	Request string
-	Stage   int
-	Segment int
-	Key     string
-	Inputs  []string
-	Bytes   int64
-	// Priority is 0 for the most urgent.
-	Priority int
-	// Prompt is the latest start of the call with which the request still meets its aim.
-	Prompt time.Time
-	// Last is the latest start of the call with which the request still meets its deadline.
-	Last time.Time
-	// Home is the data centre in which the piece is best made, "" for any, and Weight the bytes that cross to or from
-	// another one if it is made there.
-	Home   string
-	Weight int64
-	// Tries is how many calls the piece has been in.
-	Tries int
-}
-
 // Queue is the pieces that wait for the targets of one service.
 type Queue struct {
 	pieces []Piece
@@ -46,7 +22,7 @@
 func (q *Queue) Drop(group uint64) int {
 	kept := q.pieces[:0]
 	for _, p := range q.pieces {
-		if p.Group != group {
+		if p.ID != group {
 			kept = append(kept, p)
 		}
 	}
--- a/internal/serving/batch/queue_test.go
+++ b/internal/serving/batch/queue_test.go
@@ -9,6 +9,8 @@
 
 var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
 
+func piece(g Group) Piece { return Piece{Group: &g} }
+
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 func names(list []Piece) string {
@@ -27,12 +29,12 @@
 		size   int
 		want   string
 	}{
-		{"earlier aim first", []Piece{{Request: "a", Prompt: at(20)}, {Request: "b", Prompt: at(10)}}, 1, "b"},
-		{"more urgent first", []Piece{{Request: "a", Prompt: at(10), Priority: 2}, {Request: "b", Prompt: at(20)}}, 1, "b"},
-		{"late ones behind those on time", []Piece{{Request: "a", Prompt: at(-10)}, {Request: "b", Prompt: at(20), Priority: 2}}, 1, "b"},
-		{"late ones fill the call up", []Piece{{Request: "a", Prompt: at(-10)}, {Request: "b", Prompt: at(20)}}, 2, "ba"},
-		{"no more than the size", []Piece{{Request: "a", Prompt: at(1)}, {Request: "b", Prompt: at(2)}, {Request: "c", Prompt: at(3)}}, 2, "ab"},
-		{"no more than the room", []Piece{{Request: "a", Prompt: at(1), Bytes: 90}, {Request: "b", Prompt: at(2), Bytes: 20}, {Request: "c", Prompt: at(3), Bytes: 5}}, 3, "ac"},
+		{"earlier aim first", []Piece{piece(Group{Request: "a", Prompt: at(20)}), piece(Group{Request: "b", Prompt: at(10)})}, 1, "b"},
+		{"more urgent first", []Piece{piece(Group{Request: "a", Prompt: at(10), Priority: 2}), piece(Group{Request: "b", Prompt: at(20)})}, 1, "b"},
+		{"late ones behind those on time", []Piece{piece(Group{Request: "a", Prompt: at(-10)}), piece(Group{Request: "b", Prompt: at(20), Priority: 2})}, 1, "b"},
+		{"late ones fill the call up", []Piece{piece(Group{Request: "a", Prompt: at(-10)}), piece(Group{Request: "b", Prompt: at(20)})}, 2, "ba"},
+		{"no more than the size", []Piece{piece(Group{Request: "a", Prompt: at(1)}), piece(Group{Request: "b", Prompt: at(2)}), piece(Group{Request: "c", Prompt: at(3)})}, 2, "ab"},
+		{"no more than the room", []Piece{piece(Group{Request: "a", Prompt: at(1), Bytes: 90}), piece(Group{Request: "b", Prompt: at(2), Bytes: 20}), piece(Group{Request: "c", Prompt: at(3), Bytes: 5})}, 3, "ac"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var q Queue
@@ -45,17 +47,17 @@
 }
 
 func TestLeavesHeavyPiecesToATargetAtHome(t *testing.T) {
-	piece := Piece{Request: "a", Prompt: at(500), Home: "home", Weight: heavy}
+	large := piece(Group{Request: "a", Prompt: at(500), Home: "home", Weight: heavy})
 	for _, c := range []struct {
 		name  string
 		piece Piece
 		homes map[string]time.Time
 		want  string
 	}{
-		{"home is free in time", piece, map[string]time.Time{"home": at(300)}, ""},
-		{"home is free too late", piece, map[string]time.Time{"home": at(450)}, "a"},
-		{"home has no targets", piece, nil, "a"},
-		{"light piece", Piece{Request: "a", Prompt: at(500), Home: "home", Weight: heavy - 1}, map[string]time.Time{"home": at(0)}, "a"},
+		{"home is free in time", large, map[string]time.Time{"home": at(300)}, ""},
+		{"home is free too late", large, map[string]time.Time{"home": at(450)}, "a"},
+		{"home has no targets", large, nil, "a"},
+		{"light piece", piece(Group{Request: "a", Prompt: at(500), Home: "home", Weight: heavy - 1}), map[string]time.Time{"home": at(0)}, "a"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var q Queue
@@ -69,7 +71,7 @@
 
 func TestExpiresWhatCannotEndInTime(t *testing.T) {
 	var q Queue
-	q.Add(Piece{Request: "a", Last: at(-1)}, Piece{Request: "b", Last: at(1)})
+	q.Add(piece(Group{Request: "a", Last: at(-1)}), piece(Group{Request: "b", Last: at(1)}))
 	if got, want := names(q.Expire(start)), "a"; got != want {
 		t.Errorf("got %q expired, want %q", got, want)
 	}
@@ -96,7 +98,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			var q Queue
 			for range c.waiting {
-				q.Add(Piece{})
+				q.Add(piece(Group{}))
 			}
 			got, ok := q.Start(start, c.n, 1, b, c.free)
 			if !ok || !got.Equal(c.want) {
@@ -116,7 +118,7 @@
 	b := route.Batch{Size: 2, Call: 200 * time.Millisecond}
 	var q Queue
 	for i := range 10 {
-		p := Piece{Request: string(rune('a' + i)), Prompt: at(5000), Last: at(900), Priority: i % 2}
+		p := piece(Group{Request: string(rune('a' + i)), Prompt: at(5000), Last: at(900), Priority: i % 2})
 		q.Add(p)
 	}
 	got := names(q.Hopeless(start, b, []time.Time{at(100)}))
--- a/internal/wire/desk/desk.go
+++ b/internal/wire/desk/desk.go
@@ -21,17 +21,10 @@
 	abandonFactor = 8
 	// maxTries bounds the calls that one piece may be in.
 	maxTries = 3
-	// avoidMin and avoidMax bound how long a target is left alone after a failure.
-	avoidMin = 150 * time.Millisecond
-	avoidMax = 2 * time.Second
 	// freeEvery collects results that are given up into one call.
 	freeEvery = 20 * time.Millisecond
 	// freeTimeout bounds that call; a result that it misses ends by its own time.
 	freeTimeout = time.Second
-	// slowFrom is the ratio of measured to expected time from which a target counts as slow.
-	slowFrom = 1.5
-	// slowForget is the time in which half of a measured slowness is forgotten, so that the target is tried again.
-	slowForget = 3 * time.Second
 	// fetchTime is how long a target takes at most from the start of a call to have fetched the inputs of its pieces:
 	// a few round trips and some megabytes over a link of gigabits.
 	fetchTime = 40 * time.Millisecond
@@ -39,8 +32,6 @@
 	aliveEvery = 300 * time.Millisecond
 	// fullSteps is into how many looks the time is cut that unknown results may stay at a full target.
 	fullSteps = 8
-	// sendMargin is the time that a call and its answer spend on the way.
-	sendMargin = 5 * time.Millisecond
 )
 
 // ErrUnready is the error of a desk whose node has no configuration yet; another desk may do the work.
@@ -49,7 +40,7 @@
 // Caller makes the calls of stage targets.
 type Caller interface {
 	// Run makes one call; the results are in the order of the pieces. An error means that no piece has a result.
-	Run(ctx context.Context, now time.Time, t roster.Target, terms route.Batch, pieces []batch.Piece) ([]Result, error)
+	Run(ctx context.Context, now time.Time, t roster.Target, terms route.Batch, pieces []batch.Piece) ([]batch.Result, error)
 	// Free gives results of one target up.
 	Free(ctx context.Context, address string, handles []string) error
 }
@@ -71,7 +62,7 @@
 type Desk struct {
 	cfg    Config
 	mu     sync.Mutex
-	queues map[string]*queue
+	lines  map[string]*line
 	groups map[uint64]*group
 	last   uint64
 	frees  map[string][]string
@@ -80,14 +71,21 @@
 
 // New makes a desk without pieces.
 func New(cfg Config) *Desk {
-	return &Desk{cfg: cfg, queues: map[string]*queue{}, groups: map[uint64]*group{}, frees: map[string][]string{}}
+	return &Desk{cfg: cfg, lines: map[string]*line{}, groups: map[uint64]*group{}, frees: map[string][]string{}}
+}
+
+// line is the pieces that wait for the targets of one shard of a service.
+type line struct {
+	*batch.Line
+	service string
+	shard   string
 }
 
 // group is the pieces of one stage of one request that are not all done.
 type group struct {
-	Group
+	batch.Group
 	id      uint64
-	results []Result
+	results []batch.Result
 	done    []bool
 	left    int
 	ready   chan struct{}
@@ -110,22 +108,22 @@
 }
 
 // Produce queues a group and waits for its results.
-func (d *Desk) Produce(ctx context.Context, g Group, n Notice) ([]Result, error) {
+func (d *Desk) Produce(ctx context.Context, g batch.Group, n Notice) ([]batch.Result, error) {
 	now := d.cfg.Now()
 	d.mu.Lock()
-	q := d.queue(g.Service, g.Shard)
-	terms, wait, err := d.admit(now, q, g)
+	l := d.line(g.Service, g.Shard)
+	terms, wait, err := d.admit(now, l, g)
 	if err != nil {
 		d.mu.Unlock()
 		return nil, err
 	}
 	d.last++
-	x := &group{Group: g, id: d.last, results: make([]Result, g.Count), done: make([]bool, g.Count), left: g.Count, ready: make(chan struct{}), unsent: g.Count, begun: make(chan struct{}), flying: make([]int, g.Count)}
+	x := &group{Group: g, id: d.last, results: make([]batch.Result, g.Count), done: make([]bool, g.Count), left: g.Count, ready: make(chan struct{}), unsent: g.Count, begun: make(chan struct{}), flying: make([]int, g.Count)}
 	d.groups[x.id] = x
 	for i := range g.Count {
-		q.waiting.Add(x.piece(i, 0))
+		l.Add(batch.Piece{Group: &x.Group, ID: x.id, Segment: i})
 	}
-	d.dispatch(now, q, terms)
+	d.dispatch(now, l, terms)
 	d.mu.Unlock()
 	n.Queued(wait)
 	begun := x.begun
@@ -146,40 +144,27 @@
 			}
 		case <-expire.C:
 			d.mu.Lock()
-			d.expire(d.cfg.Now(), q)
+			d.late(d.cfg.Now(), l, terms)
 			d.mu.Unlock()
 		case <-ctx.Done():
-			d.forget(x, q)
+			d.forget(x, l)
 			return nil, ctx.Err()
 		}
 	}
 }
 
-func (g *group) piece(i, tries int) batch.Piece {
-	return batch.Piece{
-		Group: g.id, Request: g.Request, Stage: g.Stage, Segment: i, Key: g.Key, Inputs: g.Inputs, Bytes: g.Bytes,
-		Priority: g.Priority, Prompt: g.Prompt, Last: g.Last, Home: g.Home, Weight: g.Weight, Tries: tries,
-	}
-}
-
 // admit refuses a group that could not begin in time.
-func (d *Desk) admit(now time.Time, q *queue, g Group) (route.Batch, time.Duration, error) {
+func (d *Desk) admit(now time.Time, l *line, g batch.Group) (route.Batch, time.Duration, error) {
 	if d.cfg.Table() == nil {
 		return route.Batch{}, 0, ErrUnready
 	}
 	terms, ok := d.terms(g.Service)
 	if !ok {
-		return terms, 0, &Refused{Why: "service runs no stages"}
-	}
-	d.refresh(q)
-	start, ok := q.waiting.Start(now, g.Count, g.Priority, terms, q.free(now))
-	if !ok {
-		return terms, 0, &Refused{Why: "stage service has no targets"}
-	}
-	if start.After(g.Last) {
-		return terms, 0, &Refused{Why: "stage service is full", Wait: start.Sub(now)}
+		return terms, 0, &batch.Refused{Why: "service runs no stages"}
 	}
-	return terms, start.Sub(now), nil
+	l.Refresh(d.targets(l))
+	wait, err := l.Admit(now, terms, g)
+	return terms, wait, err
 }
 
 func (d *Desk) terms(service string) (route.Batch, bool) {
@@ -191,86 +176,66 @@
 	return s.Batch, ok && s.Batch.Size > 0
 }
 
-func (d *Desk) queue(service, shard string) *queue {
+func (d *Desk) line(service, shard string) *line {
 	key := service + "@" + shard
-	q, ok := d.queues[key]
+	l, ok := d.lines[key]
 	if !ok {
-		q = &queue{service: service, shard: shard, lanes: map[string]*lane{}, passed: map[string]bool{}}
-		d.queues[key] = q
+		l = &line{Line: batch.NewLine(), service: service, shard: shard}
+		d.lines[key] = l
 	}
-	return q
+	return l
 }
 
-// refresh takes the targets of the roster in force.
-func (d *Desk) refresh(q *queue) {
-	usable := map[string]bool{}
-	for _, t := range d.cfg.Roster().Usable(q.service) {
-		if q.shard != "" && t.Datacentre != q.shard {
-			continue
-		}
-		usable[t.ID] = true
-		l, ok := q.lanes[t.ID]
-		if !ok || l.target.Born != t.Born {
-			l = &lane{held: map[string]holding{}}
-			q.lanes[t.ID] = l
-		}
-		l.target = t
+// targets lists the targets of a line in the roster in force.
+func (d *Desk) targets(l *line) []roster.Target {
+	list := d.cfg.Roster().Usable(l.service)
+	if l.shard == "" {
+		return list
 	}
-	for id := range q.lanes {
-		if !usable[id] {
-			delete(q.lanes, id)
+	var near []roster.Target
+	for _, t := range list {
+		if t.Datacentre == l.shard {
+			near = append(near, t)
 		}
 	}
+	return near
 }
 
-// Changed looks at every queue again after the roster has changed.
+// Changed looks at every line again after the roster has changed.
 func (d *Desk) Changed() {
 	now := d.cfg.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, q := range d.queues {
-		if q.waiting.Len() == 0 {
+	for _, l := range d.lines {
+		if l.Len() == 0 {
 			continue
 		}
-		if terms, ok := d.terms(q.service); ok {
-			d.refresh(q)
-			d.dispatch(now, q, terms)
+		if terms, ok := d.terms(l.service); ok {
+			l.Refresh(d.targets(l))
+			d.dispatch(now, l, terms)
 		}
 	}
 }
 
 // dispatch begins the calls that can begin; the lock is held.
-func (d *Desk) dispatch(now time.Time, q *queue, terms route.Batch) {
-	d.expire(now, q)
-	for _, p := range q.waiting.Hopeless(now, terms, q.free(now)) {
-		d.giveUp(q, p.Group)
-	}
-	clear(q.passed)
-	for q.waiting.Len() > 0 {
-		l := q.next(now, terms)
-		if l == nil {
+func (d *Desk) dispatch(now time.Time, l *line, terms route.Batch) {
+	d.late(now, l, terms)
+	l.Round()
+	for {
+		c, ok := l.Begin(now, terms)
+		if !ok {
 			return
 		}
-		room := terms.Room - l.room(now, terms)
-		pieces := q.waiting.Take(now, terms.Size, room, l.target.Datacentre, q.homes(now))
-		if len(pieces) == 0 {
-			q.passed[l.target.ID] = true
-			continue
-		}
-		l.busy = true
-		expected := time.Duration(float64(terms.Took(len(pieces))) * l.slowness(now))
-		l.freeAt = now.Add(expected)
-		for _, p := range pieces {
-			l.used += p.Bytes
-			if g := d.groups[p.Group]; g != nil {
+		for _, p := range c.Pieces {
+			if g := d.groups[p.ID]; g != nil {
 				g.flying[p.Segment]++
 			}
 			if p.Tries == 0 {
-				d.cfg.Sent(now, q.service)
-				d.sent(p.Group)
+				d.cfg.Sent(now, l.service)
+				d.sent(p.ID)
 			}
 		}
-		go d.run(q, l, l.target, terms, pieces, now, expected)
+		go d.run(l, c, terms)
 	}
 }
 
--- a/internal/wire/desk/desk_test.go
+++ b/internal/wire/desk/desk_test.go
@@ -21,7 +21,7 @@
 	mu    sync.Mutex
 	calls []madeCall
 	freed []string
-	run   func(n int, t roster.Target, pieces []batch.Piece) ([]Result, error)
+	run   func(n int, t roster.Target, pieces []batch.Piece) ([]batch.Result, error)
 	n     int
 }
 
@@ -31,7 +31,7 @@
 	at     time.Time
 }
 
-func (f *fakeCaller) Run(_ context.Context, now time.Time, t roster.Target, terms route.Batch, pieces []batch.Piece) ([]Result, error) {
+func (f *fakeCaller) Run(_ context.Context, now time.Time, t roster.Target, terms route.Batch, pieces []batch.Piece) ([]batch.Result, error) {
 	f.mu.Lock()
 	f.calls = append(f.calls, madeCall{target: t.ID, pieces: append([]batch.Piece(nil), pieces...), at: now})
 	n := len(f.calls)
@@ -45,13 +45,13 @@
 	return f.made(t, pieces), nil
 }
 
-func (f *fakeCaller) made(t roster.Target, pieces []batch.Piece) []Result {
+func (f *fakeCaller) made(t roster.Target, pieces []batch.Piece) []batch.Result {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []Result
+	var out []batch.Result
 	for range pieces {
 		f.n++
-		out = append(out, Result{Handle: fmt.Sprintf("%s/%d", t.Address, f.n), Datacentre: t.Datacentre})
+		out = append(out, batch.Result{Handle: fmt.Sprintf("%s/%d", t.Address, f.n), Datacentre: t.Datacentre})
 	}
 	return out
 }
@@ -86,9 +86,9 @@
 	return roster.Target{ID: id, Service: "s", Address: id + ":1", Datacentre: datacentre, State: roster.Ready}
 }
 
-func testGroup(request string, count int, bytes int64) Group {
+func testGroup(request string, count int, bytes int64) batch.Group {
 	now := time.Now()
-	return Group{Service: "s", Request: request, Count: count, Key: "k", Bytes: bytes, Prompt: now.Add(time.Second), Last: now.Add(2 * time.Second)}
+	return batch.Group{Service: "s", Request: request, Count: count, Key: "k", Bytes: bytes, Prompt: now.Add(time.Second), Last: now.Add(2 * time.Second)}
 }
 
 var noNotice = Notice{Queued: func(time.Duration) {}, Begun: func() {}}
@@ -116,7 +116,7 @@
 // the next stage has fetched them, not when its call ends.
 func TestTellsWhenInputsAreFetched(t *testing.T) {
 	block := make(chan struct{})
-	f := &fakeCaller{run: func(int, roster.Target, []batch.Piece) ([]Result, error) { <-block; return nil, nil }}
+	f := &fakeCaller{run: func(int, roster.Target, []batch.Piece) ([]batch.Result, error) { <-block; return nil, nil }}
 	d := newTestDesk(f, target("t1", "a"))
 	begun := make(chan struct{})
 	done := make(chan struct{})
@@ -164,7 +164,7 @@
 }
 
 func TestSendsPiecesOfAFailedTargetElsewhere(t *testing.T) {
-	f := &fakeCaller{run: func(_ int, x roster.Target, _ []batch.Piece) ([]Result, error) {
+	f := &fakeCaller{run: func(_ int, x roster.Target, _ []batch.Piece) ([]batch.Result, error) {
 		if x.ID == "t1" {
 			return nil, errors.New("connection refused")
 		}
@@ -177,7 +177,7 @@
 			t.Fatal(err)
 		}
 		for _, r := range out {
-			if r.Reason != Made {
+			if r.Reason != batch.Made {
 				t.Errorf("piece is %q, want it made by the other target", r.Reason)
 			}
 		}
@@ -187,7 +187,7 @@
 // TestAsksAnotherTargetWhenACallIsStuck replays a target that falls silent in the middle of a call.
 func TestAsksAnotherTargetWhenACallIsStuck(t *testing.T) {
 	stuck := make(chan struct{})
-	f := &fakeCaller{run: func(n int, _ roster.Target, _ []batch.Piece) ([]Result, error) {
+	f := &fakeCaller{run: func(n int, _ roster.Target, _ []batch.Piece) ([]batch.Result, error) {
 		if n == 1 {
 			<-stuck
 			return nil, errors.New("closed")
@@ -198,7 +198,7 @@
 	d := newTestDesk(f, target("t1", "a"), target("t2", "a"))
 	started := time.Now()
 	out, err := d.Produce(context.Background(), testGroup("r", 1, 1), noNotice)
-	if err != nil || out[0].Reason != Made {
+	if err != nil || out[0].Reason != batch.Made {
 		t.Fatalf("got %v (%v), want a result of the other target", out, err)
 	}
 	if got, want := time.Since(started), 600*time.Millisecond; got > want {
@@ -217,7 +217,7 @@
 	g.Last = time.Now().Add(200 * time.Millisecond)
 	started := time.Now()
 	_, err := d.Produce(context.Background(), g, noNotice)
-	var full *Refused
+	var full *batch.Refused
 	if !errors.As(err, &full) || full.Wait < 500*time.Millisecond {
 		t.Errorf("got %v, want a refusal with the wait", err)
 	}
@@ -256,11 +256,11 @@
 // partly held by results that nobody will free.
 func TestWaitsForRoomThatUnknownResultsHold(t *testing.T) {
 	f := &fakeCaller{}
-	f.run = func(n int, x roster.Target, pieces []batch.Piece) ([]Result, error) {
+	f.run = func(n int, x roster.Target, pieces []batch.Piece) ([]batch.Result, error) {
 		if n == 1 {
-			out := make([]Result, len(pieces))
+			out := make([]batch.Result, len(pieces))
 			for i := range out {
-				out[i].Reason = Full
+				out[i].Reason = batch.Full
 			}
 			return out, nil
 		}
@@ -268,7 +268,7 @@
 	}
 	d := newTestDesk(f, target("t1", "a"))
 	out, err := d.Produce(context.Background(), testGroup("r", 2, 500), noNotice)
-	if err != nil || out[0].Reason != Made || out[1].Reason != Made {
+	if err != nil || out[0].Reason != batch.Made || out[1].Reason != batch.Made {
 		t.Fatalf("got %v (%v), want both pieces made in the end", out, err)
 	}
 	calls := f.seen()
@@ -281,14 +281,14 @@
 // their inputs gone, while the first still brings its results.
 func TestWaitsForASlowCallWhoseInputsAreFreed(t *testing.T) {
 	f := &fakeCaller{}
-	f.run = func(n int, x roster.Target, pieces []batch.Piece) ([]Result, error) {
+	f.run = func(n int, x roster.Target, pieces []batch.Piece) ([]batch.Result, error) {
 		if n == 1 {
 			time.Sleep(600 * time.Millisecond)
 			return f.made(x, pieces), nil
 		}
-		out := make([]Result, len(pieces))
+		out := make([]batch.Result, len(pieces))
 		for i := range out {
-			out[i].Reason = Gone
+			out[i].Reason = batch.Gone
 		}
 		return out, nil
 	}
@@ -296,7 +296,7 @@
 	g := testGroup("r", 2, 1)
 	g.Key, g.Inputs = "", []string{"t9:1/1"}
 	out, err := d.Produce(context.Background(), g, noNotice)
-	if err != nil || out[0].Reason != Made || out[1].Reason != Made {
+	if err != nil || out[0].Reason != batch.Made || out[1].Reason != batch.Made {
 		t.Errorf("got %v (%v), want the results of the slow call", out, err)
 	}
 }
--- a/internal/wire/desk/free.go
+++ b/internal/wire/desk/free.go
@@ -49,18 +49,8 @@
 		return
 	}
 	d.mu.Lock()
-	for _, q := range d.queues {
-		for _, l := range q.lanes {
-			if l.target.Address != address {
-				continue
-			}
-			for _, h := range handles {
-				if x, ok := l.held[h]; ok {
-					delete(l.held, h)
-					l.used -= x.bytes
-				}
-			}
-		}
+	for _, l := range d.lines {
+		l.Freed(address, handles)
 	}
 	d.mu.Unlock()
 	d.Changed()
--- a/internal/wire/desk/server.go
+++ b/internal/wire/desk/server.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/desk/deskpb"
 )
 
@@ -41,7 +42,7 @@
 		Begun: func() { _ = out.Send(&deskpb.Progress{State: string(begun)}) },
 		Alive: func() { _ = out.Send(&deskpb.Progress{State: string(alive)}) },
 	})
-	var r *Refused
+	var r *batch.Refused
 	if errors.As(err, &r) {
 		return out.Send(&deskpb.Progress{State: string(refused), WaitUs: r.Wait.Microseconds(), Results: []*deskpb.Result{{Reason: r.Why}}})
 	}
@@ -61,7 +62,7 @@
 	return &deskpb.Freed{}, nil
 }
 
-func toMessage(now time.Time, g Group) *deskpb.Group {
+func toMessage(now time.Time, g batch.Group) *deskpb.Group {
 	return &deskpb.Group{
 		Service: g.Service, Shard: g.Shard, Request: g.Request, Stage: int32(g.Stage), Count: int32(g.Count), Key: g.Key,
 		Inputs: g.Inputs, Bytes: g.Bytes, Priority: int32(g.Priority), Home: g.Home, Weight: g.Weight,
@@ -69,8 +70,8 @@
 	}
 }
 
-func fromMessage(now time.Time, m *deskpb.Group) Group {
-	return Group{
+func fromMessage(now time.Time, m *deskpb.Group) batch.Group {
+	return batch.Group{
 		Service: m.Service, Shard: m.Shard, Request: m.Request, Stage: int(m.Stage), Count: int(m.Count), Key: m.Key,
 		Inputs: m.Inputs, Bytes: m.Bytes, Priority: int(m.Priority), Home: m.Home, Weight: m.Weight,
 		Prompt: now.Add(time.Duration(m.PromptUs) * time.Microsecond), Last: now.Add(time.Duration(m.LastUs) * time.Microsecond),
--- a/internal/wire/desk/settle.go
+++ b/internal/wire/desk/settle.go
@@ -7,98 +7,83 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
-	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 )
 
 // run makes one call and settles its pieces.
-func (d *Desk) run(q *queue, l *lane, t roster.Target, terms route.Batch, pieces []batch.Piece, started time.Time, expected time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), abandonFactor*expected+overdueExtra)
+func (d *Desk) run(l *line, c *batch.Call, terms route.Batch) {
+	ctx, cancel := context.WithTimeout(context.Background(), abandonFactor*c.Expected+overdueExtra)
 	defer cancel()
-	overdue := time.AfterFunc(time.Duration(overdueFactor*float64(expected))+overdueExtra, func() { d.overdue(q, l, terms, pieces) })
-	results, err := d.cfg.Caller.Run(ctx, started, t, terms, pieces)
+	overdue := time.AfterFunc(time.Duration(overdueFactor*float64(c.Expected))+overdueExtra, func() { d.overdue(l, c, terms) })
+	results, err := d.cfg.Caller.Run(ctx, c.Started, c.Target, terms, c.Pieces)
 	overdue.Stop()
 	now := d.cfg.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l.busy = false
-	for _, p := range pieces {
-		l.used -= p.Bytes
-		if g := d.groups[p.Group]; g != nil {
+	for _, p := range c.Pieces {
+		if g := d.groups[p.ID]; g != nil {
 			g.flying[p.Segment]--
 		}
 	}
 	if err != nil {
-		d.failed(now, q, l, pieces, err)
+		d.failed(now, l, c, err)
 	} else {
-		l.fails = 0
-		l.slow = float64(now.Sub(started)-sendMargin) / float64(terms.Took(len(pieces)))
-		l.measured = now
-		var lacked int64
-		for i, p := range pieces {
-			d.settle(now, q, l, terms, p, results[i])
-			if results[i].Reason == Full {
-				lacked += p.Bytes
-			}
+		full := c.End(now, terms, results)
+		for i, p := range c.Pieces {
+			d.settle(now, l, c, p, results[i])
 		}
-		if lacked > 0 {
-			l.full(now, terms, lacked)
-			d.look(l, terms)
+		if full {
+			d.look(c, terms)
 		}
 	}
-	d.dispatch(now, q, terms)
+	d.dispatch(now, l, terms)
 }
 
-// look looks at the queues again and again while unknown results fade at a target.
-func (d *Desk) look(l *lane, terms route.Batch) {
+// look looks at the lines again and again while unknown results fade at a target.
+func (d *Desk) look(c *batch.Call, terms route.Batch) {
 	time.AfterFunc(terms.Keep/fullSteps, func() {
 		d.Changed()
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if l.unknown(d.cfg.Now(), terms) > 0 {
-			d.look(l, terms)
+		if c.Unknown(d.cfg.Now(), terms) > 0 {
+			d.look(c, terms)
 		}
 	})
 }
 
 // settle takes the result of one piece; the lock is held.
-func (d *Desk) settle(now time.Time, q *queue, l *lane, terms route.Batch, p batch.Piece, r Result) {
-	g := d.groups[p.Group]
-	if r.Reason == Made {
-		l.held[r.Handle] = holding{bytes: p.Bytes, until: now.Add(terms.Keep)}
-		l.used += p.Bytes
-		if g == nil || g.done[p.Segment] {
-			d.free(l.target.Address, r.Handle)
-			return
-		}
-	}
+func (d *Desk) settle(now time.Time, l *line, c *batch.Call, p batch.Piece, r batch.Result) {
+	g := d.groups[p.ID]
 	if g == nil || g.done[p.Segment] {
+		if r.Reason == batch.Made {
+			d.free(c.Target.Address, r.Handle)
+		}
 		return
 	}
-	if r.Reason != Made && d.elsewhere(p) {
+	if r.Reason != batch.Made && d.elsewhere(p) {
 		return
 	}
-	if r.Reason == Full && !now.After(p.Last) {
-		q.waiting.Add(p)
+	if r.Reason == batch.Full && !now.After(p.Last) {
+		l.Add(p)
 		return
 	}
-	if r.Reason == Failed && d.again(now, q, p) {
+	if r.Reason == batch.Failed && d.again(now, l, p) {
 		return
 	}
 	d.finish(g, p.Segment, r)
 }
 
 // again queues a piece once more if tries and budget allow it.
-func (d *Desk) again(now time.Time, q *queue, p batch.Piece) bool {
-	if p.Tries+1 >= maxTries || now.After(p.Last) || !d.cfg.Repeat(now, q.service) {
+func (d *Desk) again(now time.Time, l *line, p batch.Piece) bool {
+	if p.Tries+1 >= maxTries || now.After(p.Last) || !d.cfg.Repeat(now, l.service) {
 		return false
 	}
 	p.Tries++
-	q.waiting.Add(p)
+	l.Add(p)
 	return true
 }
 
-func (d *Desk) finish(g *group, segment int, r Result) {
+func (d *Desk) finish(g *group, segment int, r batch.Result) {
 	g.done[segment] = true
 	g.results[segment] = r
 	g.left--
@@ -109,75 +94,73 @@
 }
 
 // failed leaves the target alone for a while and sends its pieces elsewhere; the lock is held.
-func (d *Desk) failed(now time.Time, q *queue, l *lane, pieces []batch.Piece, err error) {
-	l.fails++
-	wait := min(avoidMax, avoidMin<<min(l.fails-1, 8))
-	l.avoid = now.Add(wait)
-	time.AfterFunc(wait, d.Changed)
+func (d *Desk) failed(now time.Time, l *line, c *batch.Call, err error) {
+	avoid, fails := c.Fail(now)
+	time.AfterFunc(avoid, d.Changed)
 	d.cfg.Log.WithError(err).WithFields(logrus.Fields{
-		"service": q.service, "target": l.target.ID, "pieces": len(pieces), "fails": l.fails, "avoid_ms": wait.Milliseconds(),
+		"service": l.service, "target": c.Target.ID, "pieces": len(c.Pieces), "fails": fails, "avoid_ms": avoid.Milliseconds(),
 	}).Warn("desk: stage call failed")
-	for _, p := range pieces {
-		g := d.groups[p.Group]
+	for _, p := range c.Pieces {
+		g := d.groups[p.ID]
 		if g == nil || g.done[p.Segment] || d.elsewhere(p) {
 			continue
 		}
-		if !d.again(now, q, p) {
-			d.finish(g, p.Segment, Result{Reason: Failed})
+		if !d.again(now, l, p) {
+			d.finish(g, p.Segment, batch.Result{Reason: batch.Failed})
 		}
 	}
 }
 
 // elsewhere tells whether a piece is in another call still, which may bring its result; the lock is held.
 func (d *Desk) elsewhere(p batch.Piece) bool {
-	g := d.groups[p.Group]
+	g := d.groups[p.ID]
 	return g != nil && g.flying[p.Segment] > 0
 }
 
 // overdue sends the pieces of a call that seems stuck elsewhere; whichever result comes first counts. Pieces with
 // inputs are left where they are: once a target has fetched those they are freed.
-func (d *Desk) overdue(q *queue, l *lane, terms route.Batch, pieces []batch.Piece) {
+func (d *Desk) overdue(l *line, c *batch.Call, terms route.Batch) {
 	now := d.cfg.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	sent := 0
-	for _, p := range pieces {
-		if g := d.groups[p.Group]; g != nil && !g.done[p.Segment] && len(p.Inputs) == 0 && d.again(now, q, p) {
+	for _, p := range c.Pieces {
+		if g := d.groups[p.ID]; g != nil && !g.done[p.Segment] && len(p.Inputs) == 0 && d.again(now, l, p) {
 			sent++
 		}
 	}
 	d.cfg.Log.WithFields(logrus.Fields{
-		"service": q.service, "target": l.target.ID, "pieces": len(pieces), "again": sent,
+		"service": l.service, "target": c.Target.ID, "pieces": len(c.Pieces), "again": sent,
 	}).Warn("desk: stage call is overdue")
-	d.dispatch(now, q, terms)
+	d.dispatch(now, l, terms)
 }
 
-// expire ends the pieces that wait for nothing; the lock is held.
-func (d *Desk) expire(now time.Time, q *queue) {
-	for _, p := range q.waiting.Expire(now) {
-		d.giveUp(q, p.Group)
+// late ends the groups of which a piece cannot begin in time any more; the lock is held.
+func (d *Desk) late(now time.Time, l *line, terms route.Batch) {
+	for _, p := range l.Late(now, terms) {
+		d.giveUp(l, p.ID)
 	}
 }
 
 // giveUp ends a group at once, of which one piece cannot be made in time: the others alone are of no use.
-func (d *Desk) giveUp(q *queue, id uint64) {
+func (d *Desk) giveUp(l *line, id uint64) {
 	g := d.groups[id]
 	if g == nil {
 		return
 	}
-	q.waiting.Drop(id)
+	l.Drop(id)
 	for i := range g.done {
 		if !g.done[i] {
-			d.finish(g, i, Result{Reason: Late})
+			d.finish(g, i, batch.Result{Reason: batch.Late})
 		}
 	}
 }
 
 // forget drops a group that nobody waits for, and its results.
-func (d *Desk) forget(g *group, q *queue) {
+func (d *Desk) forget(g *group, l *line) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	q.waiting.Drop(g.id)
+	l.Drop(g.id)
 	delete(d.groups, g.id)
 	for _, r := range g.results {
 		if r.Handle != "" {
--- a/internal/wire/desk/switchboard.go
+++ b/internal/wire/desk/switchboard.go
@@ -14,6 +14,7 @@
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/placement"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/desk/deskpb"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/link"
 )
@@ -78,7 +79,7 @@
 // Output is the results of a group and the node whose desk keeps them.
 type Output struct {
 	Node    string
-	Results []Result
+	Results []batch.Result
 }
 
 // Shards gives the shards of a service that a request's pieces may go to, best first. A small service has one shard.
@@ -135,7 +136,7 @@
 
 // Produce has a group made at its desk; it is done here if no desk answers.
 // begun is called once the inputs of the group are no longer needed.
-func (s *Switchboard) Produce(ctx context.Context, g Group, begun func()) (Output, error) {
+func (s *Switchboard) Produce(ctx context.Context, g batch.Group, begun func()) (Output, error) {
 	for range maxDesks {
 		now := s.cfg.Now()
 		name := s.desk(now, g.Service, g.Shard)
@@ -144,7 +145,7 @@
 			break
 		}
 		results, err := s.ask(ctx, now, node, g, begun)
-		var r *Refused
+		var r *batch.Refused
 		if err == nil || errors.As(err, &r) {
 			s.found(node.Name)
 		}
@@ -165,7 +166,7 @@
 }
 
 // lost passes a node over for a while.
-func (s *Switchboard) lost(now time.Time, node roster.Node, g Group, err error) {
+func (s *Switchboard) lost(now time.Time, node roster.Node, g batch.Group, err error) {
 	s.mu.Lock()
 	x := s.shun[node.Name]
 	if x.born != node.Born {
@@ -208,7 +209,7 @@
 var errSilent = merry.Sentinel("node fell silent")
 
 // ask has a group made by another node.
-func (s *Switchboard) ask(ctx context.Context, now time.Time, node roster.Node, g Group, freed func()) ([]Result, error) {
+func (s *Switchboard) ask(ctx context.Context, now time.Time, node roster.Node, g batch.Group, freed func()) ([]batch.Result, error) {
 	client, err := s.client(node.Address)
 	if err != nil {
 		return nil, err
@@ -235,11 +236,11 @@
 		case begun:
 			freed()
 		case refused:
-			return nil, &Refused{Wait: time.Duration(p.WaitUs) * time.Microsecond, Why: p.Results[0].Reason}
+			return nil, &batch.Refused{Wait: time.Duration(p.WaitUs) * time.Microsecond, Why: p.Results[0].Reason}
 		case done:
-			results := make([]Result, 0, len(p.Results))
+			results := make([]batch.Result, 0, len(p.Results))
 			for _, r := range p.Results {
-				results = append(results, Result{Handle: r.Handle, Datacentre: r.Datacentre, Reason: Reason(r.Reason)})
+				results = append(results, batch.Result{Handle: r.Handle, Datacentre: r.Datacentre, Reason: batch.Reason(r.Reason)})
 			}
 			return results, nil
 		}
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/plan"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/desk"
 )
@@ -17,7 +18,7 @@
 // chain is the stages of one request while they run.
 type chain struct {
 	mu      sync.Mutex
-	results [][]desk.Result
+	results [][]batch.Result
 	held    []held
 	// needed counts for each stage the stages that have not fetched its results yet.
 	needed []int
@@ -41,7 +42,7 @@
 
 // stageError is a stage that brought no results.
 type stageError struct {
-	reason desk.Reason
+	reason batch.Reason
 	stage  int
 }
 
@@ -62,7 +63,7 @@
 	home := g.home(started, j)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := &chain{results: make([][]desk.Result, len(j.route.Stages)), held: make([]held, len(j.route.Stages)), needed: make([]int, len(j.route.Stages))}
+	c := &chain{results: make([][]batch.Result, len(j.route.Stages)), held: make([]held, len(j.route.Stages)), needed: make([]int, len(j.route.Stages))}
 	for _, s := range j.route.Stages {
 		for _, a := range s.After {
 			c.needed[a]++
@@ -109,7 +110,7 @@
 // stage waits for the stages before it and has its pieces made.
 func (g *Gateway) stage(ctx context.Context, j *job, c *chain, i int, ready []chan struct{}, tail time.Duration, home string) error {
 	s := j.route.Stages[i]
-	group := desk.Group{
+	group := batch.Group{
 		Service: s.Service, Request: j.ID, Stage: i,
 		Bytes: s.Bytes, Priority: j.priority(), Prompt: j.aim.Add(-tail), Last: j.first.Add(-tail),
 	}
@@ -145,7 +146,7 @@
 	var missing error
 	var handles []string
 	for _, x := range out.Results {
-		if x.Reason != desk.Made {
+		if x.Reason != batch.Made {
 			missing = &stageError{reason: x.Reason, stage: i}
 			continue
 		}
@@ -162,11 +163,11 @@
 const maxShards = 2
 
 // produce has a group made by the first shard of its service that takes it.
-func (g *Gateway) produce(ctx context.Context, group desk.Group, begun func()) (out desk.Output, err error) {
+func (g *Gateway) produce(ctx context.Context, group batch.Group, begun func()) (out desk.Output, err error) {
 	shards := desk.Shards(g.cfg.Roster(), group.Service, g.cfg.Datacentre, group.Request)
 	for _, group.Shard = range shards[:min(maxShards, len(shards))] {
 		out, err = g.cfg.Desks.Produce(ctx, group, begun)
-		var full *desk.Refused
+		var full *batch.Refused
 		if !errors.As(err, &full) {
 			return out, err
 		}
@@ -206,14 +207,14 @@
 	if r.Context().Err() != nil {
 		return &outcome{kind: gone, reason: "caller left", abort: true}
 	}
-	var full *desk.Refused
+	var full *batch.Refused
 	var stage *stageError
 	switch {
 	case errors.As(err, &full):
 		return refusal(full.Error(), plan.Return(g.cfg.Now(), full.Wait, j.first))
 	case errors.As(err, &stage):
 		out := refusal(stage.Error(), retrySoon)
-		out.inputGone = stage.reason == desk.Gone || stage.reason == desk.Failed
+		out.inputGone = stage.reason == batch.Gone || stage.reason == batch.Failed
 		return out
 	default:
 		return refusal("stages: "+err.Error(), retrySoon)
