Log each decision on a request, count causes, and explain a request from logs

Cause: logs told the end of a request and what failed, but not which target was chosen by what, which call its pieces were in, or which group a desk turned away; metrics had requests by outcome with an empty reason, and nothing of sends and stage calls. An id led to its cause only by hand. Ruled out: a line for each queued group (240 a second at a desk, 0.3% of a core, and the call's line names the same requests); the reason's text as a label (it carries figures). Change: lines for each target chosen, call begun and ended (with the requests in it), group refused or given up; each line names its node. Causes are words of a fixed list. Metrics: sends and their time by service and result, stage calls, pieces, places and time, groups turned away, pieces waiting, changes of the store, targets, nodes and configuration in force. explain ID FILE... prints a request's way through all nodes, with the changes around it.

--- a/cmd/lacewingdrift/main.go
+++ b/cmd/lacewingdrift/main.go
@@ -33,6 +33,7 @@
 		editCommand(),
 		removeCommand(),
 		auditCommand(),
+		explainCommand(),
 		statusCommand(),
 		drainCommand(),
 		restoreCommand(),
--- a/internal/operator/deployment/deployment.go
+++ b/internal/operator/deployment/deployment.go
@@ -80,7 +80,9 @@
 
 // Start listens and follows the store.
 func Start(cfg Config) (*Node, error) {
-	n := &Node{cfg: cfg, picture: newPicture(cfg), meter: meter.New(), entry: make(chan object.Object, 1)}
+	cfg.Log = cfg.Log.WithField("node", cfg.Settings.Name)
+	m := meter.New()
+	n := &Node{cfg: cfg, picture: newPicture(cfg, m), meter: m, entry: make(chan object.Object, 1)}
 	n.build()
 	if err := n.listen(); err != nil {
 		return nil, merry.Prepend(err, "start")
@@ -94,14 +96,14 @@
 	go n.prune(ctx)
 	go n.catchUp(ctx)
 	go n.picture.relayed(ctx)
-	cfg.Log.WithFields(logrus.Fields{"node": cfg.Settings.Name, "datacentre": cfg.Settings.Datacentre, "address": cfg.Settings.Caller}).Info("node: started")
+	cfg.Log.WithFields(logrus.Fields{"datacentre": cfg.Settings.Datacentre, "address": cfg.Settings.Caller}).Info("node: started")
 	return n, nil
 }
 
 func (n *Node) build() {
 	s := n.cfg.Settings
 	n.desk = desk.New(desk.Config{
-		Caller: n.cfg.Caller, Table: n.picture.table.Load, Roster: n.picture.roster.Load, Log: n.cfg.Log, Now: n.cfg.Now,
+		Caller: n.cfg.Caller, Table: n.picture.table.Load, Roster: n.picture.roster.Load, Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
 		Repeat: func(now time.Time, service string) bool { return n.gateway.Repeat(now, service) },
 		Sent:   func(now time.Time, service string) { n.gateway.Sent(now, service) },
 	})
--- a/internal/operator/deployment/follow.go
+++ b/internal/operator/deployment/follow.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/fault"
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/roster"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/meter"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/informer"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/snapshot"
@@ -40,6 +41,7 @@
 // picture is what a node believes of the configuration and the fleet.
 type picture struct {
 	cfg     Config
+	meter   *meter.Meter
 	table   atomic.Pointer[route.Table]
 	roster  atomic.Pointer[roster.Roster]
 	listed  atomic.Bool
@@ -65,8 +67,8 @@
 	tap tap
 }
 
-func newPicture(cfg Config) *picture {
-	p := &picture{cfg: cfg, out: map[string]bool{}, nodes: map[string]roster.Node{}, lost: map[string]bool{}, back: map[string]time.Time{}, raw: map[string]object.List{}, lastHeard: map[string]time.Time{}, tap: newTap()}
+func newPicture(cfg Config, m *meter.Meter) *picture {
+	p := &picture{cfg: cfg, meter: m, out: map[string]bool{}, nodes: map[string]roster.Node{}, lost: map[string]bool{}, back: map[string]time.Time{}, raw: map[string]object.List{}, lastHeard: map[string]time.Time{}, tap: newTap()}
 	p.roster.Store(roster.New())
 	return p
 }
@@ -183,6 +185,7 @@
 	if p.lost[kind] {
 		p.lost[kind] = false
 		p.back[kind] = p.cfg.Now()
+		p.meter.Source(kind, "back")
 		p.cfg.Log.WithField("kind", kind).Info("store: answers again")
 	}
 }
@@ -200,6 +203,7 @@
 	defer p.mu.Unlock()
 	if !p.lost[kind] {
 		p.lost[kind] = true
+		p.meter.Source(kind, "lost")
 		p.cfg.Log.WithError(err).WithField("kind", kind).Warn("store: does not answer")
 	}
 }
@@ -217,7 +221,10 @@
 
 func (p *picture) set(change func(*roster.Roster) *roster.Roster) {
 	p.mu.Lock()
-	p.roster.Store(change(p.roster.Load()))
+	r := change(p.roster.Load())
+	p.roster.Store(r)
 	p.mu.Unlock()
+	p.meter.Gauge("targets", float64(r.Targets()))
+	p.meter.Gauge("nodes", float64(len(r.Nodes())))
 	p.changed()
 }
--- a/internal/operator/deployment/objects.go
+++ b/internal/operator/deployment/objects.go
@@ -41,6 +41,7 @@
 		return
 	}
 	p.table.Store(t)
+	p.meter.Gauge("configuration_version", float64(t.Version))
 	p.cfg.Log.WithFields(logrus.Fields{"version": t.Version, "revision": o.Version, "routes": t.Routes()}).Info("configuration: in force")
 }
 
@@ -166,7 +167,7 @@
 		p.mu.Lock()
 		delete(p.nodes, e.Object.Name)
 		p.mu.Unlock()
-		p.cfg.Log.WithFields(logrus.Fields{"node": e.Object.Name, "revision": e.Object.Version}).Info("fleet: node left")
+		p.cfg.Log.WithFields(logrus.Fields{"peer": e.Object.Name, "revision": e.Object.Version}).Info("fleet: node left")
 	} else {
 		p.node(e.Object)
 	}
@@ -184,7 +185,7 @@
 	p.nodes[n.Name] = n
 	p.mu.Unlock()
 	if !known || before != n {
-		p.cfg.Log.WithFields(logrus.Fields{"node": n.Name, "address": n.Address, "revision": o.Version}).Info("fleet: node joined")
+		p.cfg.Log.WithFields(logrus.Fields{"peer": n.Name, "address": n.Address, "revision": o.Version}).Info("fleet: node joined")
 	}
 }
 
--- a/internal/operator/meter/meter.go
+++ b/internal/operator/meter/meter.go
@@ -61,6 +61,36 @@
 	s.Counter("attempt_milliseconds").Inc(cost.Milliseconds())
 }
 
+// Send counts an attempt to have a request run by a target of a service, by what came of it.
+func (m *Meter) Send(service, result string, took time.Duration) {
+	m.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("sends").Inc(1)
+	m.scope.Tagged(map[string]string{"service": service}).Timer("send_time").Record(took)
+}
+
+// Call counts a call of a stage target with its pieces and the most that it could have had.
+func (m *Meter) Call(service, result string, pieces, places int, took time.Duration) {
+	m.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("stage_calls").Inc(1)
+	s := m.scope.Tagged(map[string]string{"service": service})
+	s.Counter("stage_pieces").Inc(int64(pieces))
+	s.Counter("stage_places").Inc(int64(places))
+	s.Timer("stage_call_time").Record(took)
+}
+
+// Turned counts the groups of pieces that a desk did not begin.
+func (m *Meter) Turned(service, why string) {
+	m.scope.Tagged(map[string]string{"service": service, "why": why}).Counter("stage_turned").Inc(1)
+}
+
+// Waiting sets the number of pieces that wait for the targets of a service.
+func (m *Meter) Waiting(service string, pieces int) {
+	m.scope.Tagged(map[string]string{"service": service}).Gauge("stage_waiting").Update(float64(pieces))
+}
+
+// Source counts how often the source of a kind of object was lost and answered again.
+func (m *Meter) Source(kind, change string) {
+	m.scope.Tagged(map[string]string{"kind": kind, "change": change}).Counter("store_changes").Inc(1)
+}
+
 // Gauge sets a value.
 func (m *Meter) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
--- /dev/null
+++ b/internal/operator/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace puts the way of one request together from the logs of all nodes.
+package trace
--- a/internal/serving/batch/line.go
+++ b/internal/serving/batch/line.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
@@ -30,6 +31,19 @@
 	lane  *lane
 }
 
+// Requests names the requests whose pieces are in the call, each once for every stage, as REQUEST/STAGE.
+func (c *Call) Requests() []string {
+	var list []string
+	seen := make(map[*Group]bool, len(c.Pieces))
+	for _, p := range c.Pieces {
+		if !seen[p.Group] {
+			seen[p.Group] = true
+			list = append(list, p.Request+"/"+strconv.Itoa(p.Stage))
+		}
+	}
+	return list
+}
+
 // Len is the number of waiting pieces.
 func (l *Line) Len() int { return l.waiting.Len() }
 
--- a/internal/wire/desk/desk.go
+++ b/internal/wire/desk/desk.go
@@ -45,6 +45,16 @@
 	Free(ctx context.Context, address string, handles []string) error
 }
 
+// Meter counts what a desk does.
+type Meter interface {
+	// Call counts a call by its result, with its pieces and the most that it could have had.
+	Call(service, result string, pieces, places int, took time.Duration)
+	// Turned counts a group that was not begun.
+	Turned(service, why string)
+	// Waiting sets the number of pieces that wait.
+	Waiting(service string, pieces int)
+}
+
 // Config is what a desk is made of.
 type Config struct {
 	Caller Caller
@@ -52,6 +62,7 @@
 	Roster func() *roster.Roster
 	Log    logrus.FieldLogger
 	Now    func() time.Time
+	Meter  Meter
 	// Repeat asks the budget of the service for one more send of a piece.
 	Repeat func(now time.Time, service string) bool
 	// Sent counts the first send of a piece.
@@ -115,6 +126,7 @@
 	terms, wait, err := d.admit(now, l, g)
 	if err != nil {
 		d.mu.Unlock()
+		d.turned(now, g, "refused", err)
 		return nil, err
 	}
 	d.last++
@@ -235,10 +247,33 @@
 				d.sent(p.ID)
 			}
 		}
+		d.began(l, c, terms)
 		go d.run(l, c, terms)
 	}
 }
 
+// began logs a call with the requests whose pieces are in it.
+func (d *Desk) began(l *line, c *batch.Call, terms route.Batch) {
+	d.cfg.Meter.Waiting(l.service, l.Len())
+	d.cfg.Log.WithFields(logrus.Fields{
+		"service": l.service, "target": c.Target.ID, "revision": c.Target.Version, "pieces": len(c.Pieces), "places": terms.Size,
+		"waiting": c.Ahead, "expected_ms": c.Expected.Milliseconds(), "requests": c.Requests(),
+	}).Info("desk: stage call begun")
+}
+
+// turned logs and counts a group that is not begun.
+func (d *Desk) turned(now time.Time, g batch.Group, why string, err error) {
+	d.cfg.Meter.Turned(g.Service, why)
+	fields := logrus.Fields{
+		"request": g.Request, "service": g.Service, "stage": g.Stage, "pieces": g.Count, "priority": g.Priority,
+		"aim_ms": g.Prompt.Sub(now).Milliseconds(), "last_ms": g.Last.Sub(now).Milliseconds(),
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	d.cfg.Log.WithFields(fields).Info("desk: group " + why)
+}
+
 // sent counts a piece that is in its first call; the lock is held.
 func (d *Desk) sent(id uint64) {
 	g := d.groups[id]
--- a/internal/wire/desk/desk_test.go
+++ b/internal/wire/desk/desk_test.go
@@ -77,11 +77,17 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return New(Config{
-		Caller: f, Table: func() *route.Table { return table }, Roster: func() *roster.Roster { return r }, Log: log, Now: time.Now,
+		Caller: f, Table: func() *route.Table { return table }, Roster: func() *roster.Roster { return r }, Log: log, Meter: noMeter{}, Now: time.Now,
 		Repeat: func(time.Time, string) bool { return true }, Sent: func(time.Time, string) {},
 	})
 }
 
+type noMeter struct{}
+
+func (noMeter) Call(string, string, int, int, time.Duration) {}
+func (noMeter) Turned(string, string)                        {}
+func (noMeter) Waiting(string, int)                          {}
+
 func target(id, datacentre string) roster.Target {
 	return roster.Target{ID: id, Service: "s", Address: id + ":1", Datacentre: datacentre, State: roster.Ready}
 }
--- a/internal/wire/desk/settle.go
+++ b/internal/wire/desk/settle.go
@@ -29,6 +29,7 @@
 		d.failed(now, l, c, err)
 	} else {
 		full := c.End(now, terms, results)
+		d.ended(now, l, c, terms, results)
 		for i, p := range c.Pieces {
 			d.settle(now, l, c, p, results[i])
 		}
@@ -39,6 +40,21 @@
 	d.dispatch(now, l, terms)
 }
 
+// ended logs and counts a call that brought results.
+func (d *Desk) ended(now time.Time, l *line, c *batch.Call, terms route.Batch, results []batch.Result) {
+	counts := map[batch.Reason]int{}
+	for _, r := range results {
+		counts[r.Reason]++
+	}
+	took := now.Sub(c.Started)
+	d.cfg.Meter.Call(l.service, "made", len(c.Pieces), terms.Size, took)
+	d.cfg.Log.WithFields(logrus.Fields{
+		"service": l.service, "target": c.Target.ID, "pieces": len(c.Pieces), "made": counts[batch.Made], "late": counts[batch.Late],
+		"gone": counts[batch.Gone], "full": counts[batch.Full], "failed": counts[batch.Failed], "ms": took.Milliseconds(),
+		"expected_ms": c.Expected.Milliseconds(), "requests": c.Requests(),
+	}).Info("desk: stage call ended")
+}
+
 // look looks at the lines again and again while unknown results fade at a target.
 func (d *Desk) look(c *batch.Call, terms route.Batch) {
 	time.AfterFunc(terms.Keep/fullSteps, func() {
@@ -96,9 +112,11 @@
 // failed leaves the target alone for a while and sends its pieces elsewhere; the lock is held.
 func (d *Desk) failed(now time.Time, l *line, c *batch.Call, err error) {
 	avoid, fails := c.Fail(now)
+	d.cfg.Meter.Call(l.service, "failed", len(c.Pieces), len(c.Pieces), now.Sub(c.Started))
 	time.AfterFunc(avoid, d.Changed)
 	d.cfg.Log.WithError(err).WithFields(logrus.Fields{
 		"service": l.service, "target": c.Target.ID, "pieces": len(c.Pieces), "fails": fails, "avoid_ms": avoid.Milliseconds(),
+		"requests": c.Requests(),
 	}).Warn("desk: stage call failed")
 	for _, p := range c.Pieces {
 		g := d.groups[p.ID]
@@ -130,7 +148,7 @@
 		}
 	}
 	d.cfg.Log.WithFields(logrus.Fields{
-		"service": l.service, "target": c.Target.ID, "pieces": len(c.Pieces), "again": sent,
+		"service": l.service, "target": c.Target.ID, "pieces": len(c.Pieces), "again": sent, "requests": c.Requests(),
 	}).Warn("desk: stage call is overdue")
 	d.dispatch(now, l, terms)
 }
@@ -138,6 +156,9 @@
 // late ends the groups of which a piece cannot begin in time any more; the lock is held.
 func (d *Desk) late(now time.Time, l *line, terms route.Batch) {
 	for _, p := range l.Late(now, terms) {
+		if g := d.groups[p.ID]; g != nil {
+			d.turned(now, g.Group, "late", nil)
+		}
 		d.giveUp(l, p.ID)
 	}
 }
--- a/internal/wire/desk/switchboard.go
+++ b/internal/wire/desk/switchboard.go
@@ -184,7 +184,7 @@
 		time.AfterFunc(shunFor, func() { _ = conn.Close() })
 	}
 	s.cfg.Log.WithError(err).WithFields(logrus.Fields{
-		"request": g.Request, "service": g.Service, "node": node.Name, "shun_ms": wait.Milliseconds(),
+		"request": g.Request, "service": g.Service, "peer": node.Name, "shun_ms": wait.Milliseconds(),
 	}).Warn("desk: node did not answer, another one is asked")
 }
 
@@ -264,7 +264,7 @@
 		_, err = client.Free(ctx, &deskpb.Handles{Handles: handles})
 	}
 	if err != nil {
-		s.cfg.Log.WithError(err).WithField("node", node).Warn("desk: results are freed without their desk")
+		s.cfg.Log.WithError(err).WithField("peer", node).Warn("desk: results are freed without their desk")
 		s.cfg.Desk.Free(handles)
 	}
 }
--- a/internal/wire/gateway/answer.go
+++ b/internal/wire/gateway/answer.go
@@ -41,7 +41,7 @@
 	if !s.begun || o.written || o.abort {
 		return o
 	}
-	return &outcome{kind: broken, reason: "stream was not resumed: " + o.reason, abort: true, inputGone: o.inputGone}
+	return &outcome{kind: broken, cause: causeUnresumed, reason: "stream was not resumed: " + o.reason, abort: true, inputGone: o.inputGone}
 }
 
 // kept is a whole answer of a target.
@@ -114,7 +114,7 @@
 				pending = pending[end:]
 			}
 			if e := s.pass(out); e != nil {
-				return step{out: &outcome{kind: gone, reason: "caller left", abort: true}}
+				return step{out: callerLeft()}
 			}
 			if len(pending) > maxEvent {
 				err = errors.New("event is too large")
@@ -126,7 +126,7 @@
 		if err == io.EOF {
 			s.begin(a, whole)
 			if e := s.pass(pending); e != nil {
-				return step{out: &outcome{kind: gone, reason: "caller left", abort: true}}
+				return step{out: callerLeft()}
 			}
 			return step{out: &outcome{kind: answered, status: a.Status, written: true}}
 		}
@@ -137,12 +137,12 @@
 // cut settles a stream that broke off.
 func (s *answer) cut(ctx context.Context, r *http.Request, whole bool, err error) step {
 	if r.Context().Err() != nil {
-		return step{out: &outcome{kind: gone, reason: "caller left", abort: true}}
+		return step{out: callerLeft()}
 	}
 	if !s.begun {
-		return step{last: failure(http.StatusBadGateway, "stream was cut before its first event"), ran: true, counts: true}
+		return step{last: failure(http.StatusBadGateway, causeCut, "stream was cut before its first event"), ran: true, counts: true}
 	}
-	out := &outcome{kind: broken, reason: "stream was cut: " + err.Error(), abort: true}
+	out := &outcome{kind: broken, cause: causeCut, reason: "stream was cut: " + err.Error(), abort: true}
 	if !whole || (ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved)) {
 		return step{out: out}
 	}
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -42,11 +42,11 @@
 // forward sends a request to targets until one answers it.
 func (g *Gateway) forward(ctx context.Context, r *http.Request, j *job, s *answer) *outcome {
 	tried := map[string]bool{}
-	last := refusal("service has no target that may be used", retrySoon)
+	last := refusal(causeNoTarget, "service has no target that may be used", retrySoon)
 	for unsent := 0; unsent < maxUnsent; {
 		now := g.cfg.Now()
 		if r.Context().Err() != nil {
-			return &outcome{kind: gone, reason: "caller left", abort: true}
+			return callerLeft()
 		}
 		if ctx.Err() != nil {
 			return g.timedOut(s, j.ran)
@@ -54,10 +54,11 @@
 		if j.sends >= j.route.Attempts || (j.ran && !j.route.Repeatable()) {
 			return last
 		}
-		t, ok := g.place(now, j, tried)
+		c, ok := g.place(now, j, tried)
 		if !ok {
 			return last
 		}
+		t := c.Target
 		if j.sends > 0 && !g.Repeat(now, j.service.Name) {
 			g.loads.read(now, t.ID, j.Prompt.Input)
 			g.loads.end(now, t.ID, false)
@@ -65,7 +66,9 @@
 			return last
 		}
 		tried[t.ID] = true
+		g.placed(now, j, c, len(tried))
 		st := g.send(ctx, r, j, s, t)
+		g.cfg.Meter.Send(j.service.Name, st.result(), g.cfg.Now().Sub(now))
 		if st.counts || st.out != nil {
 			j.sends++
 		} else {
@@ -82,12 +85,12 @@
 
 func (g *Gateway) timedOut(s *answer, ran bool) *outcome {
 	if s.begun {
-		return &outcome{kind: broken, reason: "time-out of the route", abort: true}
+		return &outcome{kind: broken, cause: causeTimeout, reason: "time-out of the route", abort: true}
 	}
 	if ran {
-		return failure(http.StatusGatewayTimeout, "time-out of the route")
+		return failure(http.StatusGatewayTimeout, causeTimeout, "time-out of the route")
 	}
-	return refusal("time-out of the route before a send", retrySoon)
+	return refusal(causeTimeout, "time-out of the route before a send", retrySoon)
 }
 
 // ask says what is to be placed.
@@ -109,7 +112,7 @@
 }
 
 // place chooses a target and counts the request there.
-func (g *Gateway) place(now time.Time, j *job, tried map[string]bool) (roster.Target, bool) {
+func (g *Gateway) place(now time.Time, j *job, tried map[string]bool) (placing.Candidate, bool) {
 	fleet := g.cfg.Roster()
 	ask := g.ask(j)
 	list := g.loads.candidates(now, fleet.Usable(j.service.Name), tried)
@@ -123,10 +126,30 @@
 			}
 		}
 		if g.loads.begin(now, c.Target, j.Prompt.Input, share) {
-			return c.Target, true
+			return c, true
 		}
 	}
-	return roster.Target{}, false
+	return placing.Candidate{}, false
+}
+
+// placed logs where a request goes and what spoke for it.
+func (g *Gateway) placed(now time.Time, j *job, c placing.Candidate, try int) {
+	g.cfg.Log.WithFields(logrus.Fields{
+		"request": j.ID, "target": c.Target.ID, "service": j.service.Name, "try": try, "running": c.Running, "unread": c.Unread,
+		"avoid": c.Avoid, "cold": c.Target.Cold(now), "revision": c.Target.Version, "left_ms": j.end.Sub(now).Milliseconds(),
+	}).Info("gateway: target chosen")
+}
+
+// result names what came of a send.
+func (s step) result() string {
+	o := s.out
+	if o == nil {
+		o = s.last
+	}
+	if o.cause != "" {
+		return string(o.cause)
+	}
+	return string(o.kind)
 }
 
 // patience is how long a target may take to its answer's header before the request is moved to another one.
@@ -212,39 +235,39 @@
 		}).Warn("gateway: attempt failed")
 	}
 	if left {
-		return step{out: &outcome{kind: gone, reason: "caller left", abort: true}}
+		return step{out: callerLeft()}
 	}
 	if unsent {
-		return step{last: refusal("targets cannot be reached", retrySoon)}
+		return step{last: refusal(causeUnreached, "targets cannot be reached", retrySoon)}
 	}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved) {
 		return step{out: g.timedOut(s, true)}
 	}
 	if s.begun {
-		return step{last: &outcome{kind: broken, reason: "stream was cut", abort: true}, ran: true, counts: true}
+		return step{last: &outcome{kind: broken, cause: causeCut, reason: "stream was cut", abort: true}, ran: true, counts: true}
 	}
-	return step{last: failure(http.StatusBadGateway, "target gave no answer"), ran: true, counts: true}
+	return step{last: failure(http.StatusBadGateway, causeSilent, "target gave no answer"), ran: true, counts: true}
 }
 
 // judge decides what an answer's header means and passes the answer on if it is to be.
 func (g *Gateway) judge(ctx context.Context, r *http.Request, j *job, s *answer, a *link.Answer, mark call.Mark) step {
 	if mark.InputGone {
 		drain(a)
-		out := refusal("a result was lost before the request had read it", retrySoon)
+		out := refusal(causeLost, "a result was lost before the request had read it", retrySoon)
 		out.inputGone = true
 		return step{out: out}
 	}
 	if mark.NotRun {
 		drain(a)
-		return step{last: refusal("target did not run the request", retrySoon), counts: true}
+		return step{last: refusal(causeNotRun, "target did not run the request", retrySoon), counts: true}
 	}
 	success := a.Status >= 200 && a.Status < 300
 	if success && (!mark.Sealed || a.Header.Get("Content-Encoding") != "") {
-		return step{last: failure(http.StatusBadGateway, "answer is not the target's"), ran: true, counts: true}
+		return step{last: failure(http.StatusBadGateway, causeForeign, "answer is not the target's"), ran: true, counts: true}
 	}
 	if s.begun {
 		if !success {
-			return step{last: &outcome{kind: broken, reason: "stream was not resumed", abort: true}, ran: true, counts: true}
+			return step{last: &outcome{kind: broken, cause: causeUnresumed, reason: "stream was not resumed", abort: true}, ran: true, counts: true}
 		}
 		return s.stream(ctx, r, a, true)
 	}
@@ -254,7 +277,7 @@
 		if err == nil {
 			return step{last: kept.outcome(s.w), ran: true, counts: true}
 		}
-		return step{last: failure(http.StatusBadGateway, "answer was cut"), ran: true, counts: true}
+		return step{last: failure(http.StatusBadGateway, causeCut, "answer was cut"), ran: true, counts: true}
 	}
 	if j.route.Repeat == route.Stream && success {
 		return s.stream(ctx, r, a, j.route.Resumable)
@@ -264,7 +287,7 @@
 		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved) {
 			return step{out: g.timedOut(s, true)}
 		}
-		return step{last: failure(http.StatusBadGateway, "answer was cut"), ran: true, counts: true}
+		return step{last: failure(http.StatusBadGateway, causeCut, "answer was cut"), ran: true, counts: true}
 	}
 	s.first()
 	return step{out: kept.send(s.w)}
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -43,6 +43,8 @@
 type Meter interface {
 	// Request counts a finished request by its route and outcome.
 	Request(pipeline, outcome, reason string, took time.Duration)
+	// Send counts an attempt at a target of a service by what came of it.
+	Send(service, result string, took time.Duration)
 }
 
 // Config is what a gateway is made of.
@@ -164,15 +166,15 @@
 // admit checks a request against the configuration in force and reads its body; nil lets it in.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, j *job) *outcome {
 	if j.table == nil {
-		return refusal("no configuration yet", retrySoon)
+		return refusal(causeUnready, "no configuration yet", retrySoon)
 	}
 	var ok bool
 	if j.route, ok = j.table.Match(j.Host, j.Path); !ok {
-		return denial(http.StatusNotFound, "no route")
+		return denial(http.StatusNotFound, causeRoute, "no route")
 	}
 	if j.table.Keyed() && !j.route.Public {
 		if j.team, ok = j.table.Team(j.Key); !ok {
-			return denial(http.StatusUnauthorized, "key is not known")
+			return denial(http.StatusUnauthorized, causeKey, "key is not known")
 		}
 	}
 	limit := j.table.Limits.Body
@@ -182,19 +184,19 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		return denial(http.StatusRequestEntityTooLarge, "body is too large")
+		return denial(http.StatusRequestEntityTooLarge, causeSize, "body is too large")
 	}
 	if err != nil {
-		return &outcome{kind: gone, reason: "caller left while it sent its body", abort: true}
+		return callerLeft()
 	}
 	j.Body = body
 	g.times(j)
 	name := j.route.Pick(rand.Float64())
 	if j.service, ok = j.table.Service(name); !ok {
-		return refusal("service is not configured", retrySoon)
+		return refusal(causeUnready, "service is not configured", retrySoon)
 	}
 	if g.late(j) {
-		return refusal("node is stopping", 0)
+		return refusal(causeStopping, "node is stopping", 0)
 	}
 	return nil
 }
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -27,10 +27,40 @@
 	broken kind = "broken"
 )
 
+// cause is why a request was not answered: the label of its metric, while reason tells more.
+type cause string
+
+const (
+	// A node lacks a configuration, or the service in it.
+	causeUnready cause = "unready"
+	// The configuration does not allow the request.
+	causeRoute cause = "route"
+	causeKey   cause = "key"
+	causeSize  cause = "size"
+	// The node is stopping and begins no long streams.
+	causeStopping cause = "stopping"
+	// The stages could not begin the request's pieces in time, or one of them was lost or late on the way.
+	causeCrowded cause = "crowded"
+	causePiece   cause = "piece"
+	// A result was gone before the request's target had read it.
+	causeLost cause = "lost"
+	// What became of the last send.
+	causeNoTarget  cause = "notarget"
+	causeUnreached cause = "unreached"
+	causeNotRun    cause = "notrun"
+	causeSilent    cause = "silent"
+	causeCut       cause = "cut"
+	causeForeign   cause = "foreign"
+	causeUnresumed cause = "unresumed"
+	causeTimeout   cause = "timeout"
+	causeCaller    cause = "caller"
+)
+
 // outcome is the end of a request; written says that its answer is out already.
 type outcome struct {
 	kind    kind
 	status  int
+	cause   cause
 	reason  string
 	retry   time.Duration
 	written bool
@@ -42,16 +72,20 @@
 	later func()
 }
 
-func refusal(reason string, retry time.Duration) *outcome {
-	return &outcome{kind: refused, status: http.StatusServiceUnavailable, reason: reason, retry: retry}
+func refusal(c cause, reason string, retry time.Duration) *outcome {
+	return &outcome{kind: refused, status: http.StatusServiceUnavailable, cause: c, reason: reason, retry: retry}
 }
 
-func denial(status int, reason string) *outcome {
-	return &outcome{kind: denied, status: status, reason: reason}
+func denial(status int, c cause, reason string) *outcome {
+	return &outcome{kind: denied, status: status, cause: c, reason: reason}
 }
 
-func failure(status int, reason string) *outcome {
-	return &outcome{kind: failed, status: status, reason: reason}
+func failure(status int, c cause, reason string) *outcome {
+	return &outcome{kind: failed, status: status, cause: c, reason: reason}
+}
+
+func callerLeft() *outcome {
+	return &outcome{kind: gone, cause: causeCaller, reason: "caller left", abort: true}
 }
 
 // write sends an answer of our own.
@@ -92,7 +126,7 @@
 	if name == "" {
 		name = "none"
 	}
-	g.cfg.Meter.Request(name, string(o.kind), "", took)
+	g.cfg.Meter.Request(name, string(o.kind), string(o.cause), took)
 	j.log["request"] = j.ID
 	j.log["route"] = name
 	j.log["outcome"] = string(o.kind)
@@ -103,8 +137,12 @@
 		j.log["version"] = j.table.Version
 	}
 	if o.reason != "" {
+		j.log["cause"] = string(o.cause)
 		j.log["reason"] = o.reason
 	}
+	if o.kind == refused {
+		j.log["return_ms"] = o.retry.Milliseconds()
+	}
 	entry := g.cfg.Log.WithFields(logrus.Fields(j.log))
 	if o.kind == answered {
 		entry.Info("gateway: request")
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -23,6 +23,20 @@
 	// needed counts for each stage the stages that have not fetched its results yet.
 	needed []int
 	err    error
+	// desks names for each stage the node that had it made, took how long that was.
+	desks []string
+	took  []int64
+}
+
+func newChain(stages []route.Stage) *chain {
+	n := len(stages)
+	c := &chain{results: make([][]batch.Result, n), held: make([]held, n), needed: make([]int, n), desks: make([]string, n), took: make([]int64, n)}
+	for _, s := range stages {
+		for _, a := range s.After {
+			c.needed[a]++
+		}
+	}
+	return c
 }
 
 // fetched gives the results that nobody needs any more once stage i has fetched its inputs.
@@ -63,12 +77,7 @@
 	home := g.home(started, j)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := &chain{results: make([][]batch.Result, len(j.route.Stages)), held: make([]held, len(j.route.Stages)), needed: make([]int, len(j.route.Stages))}
-	for _, s := range j.route.Stages {
-		for _, a := range s.After {
-			c.needed[a]++
-		}
-	}
+	c := newChain(j.route.Stages)
 	ready := make([]chan struct{}, len(j.route.Stages))
 	for i := range ready {
 		ready[i] = make(chan struct{})
@@ -88,6 +97,8 @@
 	all.Wait()
 	j.held = c.held
 	j.log["stages_ms"] = g.cfg.Now().Sub(started).Milliseconds()
+	j.log["stage_ms"] = c.took
+	j.log["stage_nodes"] = c.desks
 	if c.err != nil {
 		return g.unprepared(r, j, c.err)
 	}
@@ -139,7 +150,11 @@
 		group.Key = j.PieceKey
 	}
 	group.Home, group.Weight = c.home(j.route.Stages, i, home)
+	started := g.cfg.Now()
 	out, err := g.produce(ctx, group, func() { g.free(c.fetched(j.route.Stages, i)) })
+	c.mu.Lock()
+	c.desks[i], c.took[i] = out.Node, g.cfg.Now().Sub(started).Milliseconds()
+	c.mu.Unlock()
 	if err != nil {
 		return err
 	}
@@ -205,19 +220,19 @@
 // unprepared answers a request whose stages did not end well; the request itself has not been sent.
 func (g *Gateway) unprepared(r *http.Request, j *job, err error) *outcome {
 	if r.Context().Err() != nil {
-		return &outcome{kind: gone, reason: "caller left", abort: true}
+		return callerLeft()
 	}
 	var full *batch.Refused
 	var stage *stageError
 	switch {
 	case errors.As(err, &full):
-		return refusal(full.Error(), plan.Return(g.cfg.Now(), full.Wait, j.first))
+		return refusal(causeCrowded, full.Error(), plan.Return(g.cfg.Now(), full.Wait, j.first))
 	case errors.As(err, &stage):
-		out := refusal(stage.Error(), retrySoon)
+		out := refusal(causePiece, stage.Error(), retrySoon)
 		out.inputGone = stage.reason == batch.Gone || stage.reason == batch.Failed
 		return out
 	default:
-		return refusal("stages: "+err.Error(), retrySoon)
+		return refusal(causePiece, "stages: "+err.Error(), retrySoon)
 	}
 }
 
