Keep one desk for a service when nodes stop and start, and know what others hold at its targets

Traced with explain: the process of a desk ended with ten groups under way, each counted as a failure, so nodes passed it over for 2 to 16 s while nodes that started later asked it; two desks then filled the same targets. A call that waits behind one of the other desk reads its inputs later than 40 ms after it was sent, and by then they were given up. A desk whose node had no configuration yet counted as failed too, and a desk that stops said so only through the store, which was away. Change: failures of groups asked before the last one are one event; a process that is gone or declines is passed over for 0.5 s, a silent machine as before; a desk that stops declines new groups and ends those it has; one that has just started waits up to 0.2 s for its configuration; cheap failures lead to the next desk, not to one of one's own. Targets tell by their load whether another desk uses them, and for a second after it inputs are kept until results are there. New targets, and those that hold unknown results, are asked for their space (whole megabytes); after a call without space it is tried again half as often each time.

--- a/internal/operator/deployment/deployment.go
+++ b/internal/operator/deployment/deployment.go
@@ -103,7 +103,7 @@
 func (n *Node) build() {
 	s := n.cfg.Settings
 	n.desk = desk.New(desk.Config{
-		Caller: n.cfg.Caller, Table: n.picture.table.Load, Roster: n.picture.roster.Load, Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
+		Caller: n.cfg.Caller, Table: n.picture.table.Load, Ready: n.picture.ready, Roster: n.picture.roster.Load, Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
 		Repeat: func(now time.Time, service string) bool { return n.gateway.Repeat(now, service) },
 		Sent:   func(now time.Time, service string) { n.gateway.Sent(now, service) },
 	})
@@ -265,6 +265,7 @@
 	n.leaving.Store(true)
 	n.gateway.Close(started, grace)
 	n.front.SetKeepAlivesEnabled(false)
+	n.desk.Leave()
 	go n.leave()
 	n.picture.hub.Close()
 	time.Sleep(min(rotation, grace/2))
--- a/internal/operator/deployment/follow.go
+++ b/internal/operator/deployment/follow.go
@@ -40,11 +40,13 @@
 
 // picture is what a node believes of the configuration and the fleet.
 type picture struct {
-	cfg     Config
-	meter   *meter.Meter
-	table   atomic.Pointer[route.Table]
-	roster  atomic.Pointer[roster.Roster]
-	listed  atomic.Bool
+	cfg    Config
+	meter  *meter.Meter
+	table  atomic.Pointer[route.Table]
+	roster atomic.Pointer[roster.Roster]
+	listed atomic.Bool
+	// ready is closed once there is a table.
+	ready   chan struct{}
 	changed func()
 
 	// listing keeps another node's older list from going over one of the store.
@@ -68,7 +70,7 @@
 }
 
 func newPicture(cfg Config, m *meter.Meter) *picture {
-	p := &picture{cfg: cfg, meter: m, out: map[string]bool{}, nodes: map[string]roster.Node{}, lost: map[string]bool{}, back: map[string]time.Time{}, raw: map[string]object.List{}, lastHeard: map[string]time.Time{}, tap: newTap()}
+	p := &picture{cfg: cfg, meter: m, ready: make(chan struct{}), out: map[string]bool{}, nodes: map[string]roster.Node{}, lost: map[string]bool{}, back: map[string]time.Time{}, raw: map[string]object.List{}, lastHeard: map[string]time.Time{}, tap: newTap()}
 	p.roster.Store(roster.New())
 	return p
 }
--- a/internal/operator/deployment/objects.go
+++ b/internal/operator/deployment/objects.go
@@ -40,7 +40,9 @@
 		}
 		return
 	}
-	p.table.Store(t)
+	if p.table.Swap(t) == nil {
+		close(p.ready)
+	}
 	p.meter.Gauge("configuration_version", float64(t.Version))
 	p.cfg.Log.WithFields(logrus.Fields{"version": t.Version, "revision": o.Version, "routes": t.Routes()}).Info("configuration: in force")
 }
--- a/internal/serving/batch/group.go
+++ b/internal/serving/batch/group.go
@@ -45,6 +45,15 @@
 	Reason     Reason
 }
 
+// Reply is what a target answers to a call.
+type Reply struct {
+	// Results are in the order of the pieces.
+	Results []Result
+	// Running and Waiting are the calls at the target when it answered, of all callers.
+	Running int
+	Waiting int
+}
+
 // Reason says why a piece has no result.
 type Reason string
 
--- a/internal/serving/batch/lane.go
+++ b/internal/serving/batch/lane.go
@@ -15,6 +15,14 @@
 	slowFrom = 1.5
 	// slowForget is the time in which half of a measured slowness is forgotten, so that the target is tried again.
 	slowForget = 3 * time.Second
+	// askEvery is how often a target that holds unknown results is asked for its space, askWithin how long a target of
+	// which nothing is known waits for the first answer: a few round trips.
+	askEvery  = 200 * time.Millisecond
+	askWithin = 60 * time.Millisecond
+	// hiddenFor is how long unknown results are taken to hold space at first: requests give theirs up in about this time.
+	hiddenFor = 800 * time.Millisecond
+	// sharedFor is how long after a target had a call of another desk it is expected to have one again: some calls.
+	sharedFor = time.Second
 	// sendMargin is the time that a call and its answer spend on the way.
 	sendMargin = 5 * time.Millisecond
 )
@@ -34,6 +42,16 @@
 	// hidden is space that results of which this line knows nothing held at a time; they end by their own time.
 	hidden   int64
 	hiddenAt time.Time
+	fade     time.Duration
+	// since is when the line came to know the target; its space was asked for at asked, which is settled once it has
+	// told it or did not answer.
+	since   time.Time
+	asked   time.Time
+	settled bool
+	// fullAt is when a call last found no space for a result.
+	fullAt time.Time
+	// sharedAt is when the target last had a call of another desk.
+	sharedAt time.Time
 }
 
 // holding is the space of one result.
@@ -66,23 +84,41 @@
 	return at
 }
 
-// full notes that the target lacked so many bytes for results: results that this line does not know of hold them.
+// full notes that a call found no space for a result: others that this line does not know of hold hidden bytes.
 //
-// It answers a desk that took over from a node that is gone, whose results stay at the targets until their time ends.
-func (l *lane) full(now time.Time, terms route.Batch, lacked int64) {
-	l.hidden = l.unknown(now, terms) + lacked
-	l.hiddenAt = now
+// It answers a desk that took over from another node: what was made there stays until its requests have ended, or, if
+// their nodes are gone too, until its time ends. Which of the two it is shows when space is tried again; it is tried
+// half as often each time that there is none.
+func (l *lane) full(now time.Time, terms route.Batch, hidden int64) {
+	if l.fade == 0 || now.Sub(l.fullAt) > 2*l.fade {
+		l.fade = hiddenFor
+	} else {
+		l.fade = min(2*l.fade, terms.Keep)
+	}
+	l.hidden, l.hiddenAt = max(0, hidden), now
+	l.fullAt = now
+}
+
+// fits notes that all results of a call found space.
+func (l *lane) fits(terms route.Batch) {
+	l.hidden = min(l.hidden, max(0, terms.Room-l.used))
 }
 
-// unknown is the space that unknown results still hold.
-func (l *lane) unknown(now time.Time, terms route.Batch) int64 {
-	left := terms.Keep - now.Sub(l.hiddenAt)
+// unknown is the space that unknown results are taken to hold still.
+func (l *lane) unknown(now time.Time) int64 {
+	left := l.fade - now.Sub(l.hiddenAt)
 	if l.hidden == 0 || left <= 0 {
 		return 0
 	}
-	return int64(float64(l.hidden) * left.Seconds() / terms.Keep.Seconds())
+	return int64(float64(l.hidden) * left.Seconds() / l.fade.Seconds())
 }
 
+// ready tells whether enough is known of the target for a call.
+func (l *lane) ready(now time.Time) bool { return l.settled || now.Sub(l.since) >= askWithin }
+
+// sure tells whether a call will begin at once, without a call of another desk before it.
+func (l *lane) sure(now time.Time) bool { return now.Sub(l.sharedAt) >= sharedFor }
+
 // room is the bytes that results hold at the target.
 func (l *lane) room(now time.Time, terms route.Batch) int64 {
 	for h, x := range l.held {
@@ -91,7 +127,7 @@
 			l.used -= x.bytes
 		}
 	}
-	return l.used + l.unknown(now, terms)
+	return l.used + l.unknown(now)
 }
 
 // before tells whether a takes the next call rather than b.
--- a/internal/serving/batch/line.go
+++ b/internal/serving/batch/line.go
@@ -28,7 +28,12 @@
 	Expected time.Duration
 	// Ahead is the number of pieces that wait on.
 	Ahead int
-	lane  *lane
+	// Held is what results were known to hold at the target before the call, Hidden what others were taken to.
+	Held   int64
+	Hidden int64
+	// Sure tells that the target is expected to begin at once, so that it soon has the inputs.
+	Sure bool
+	lane *lane
 }
 
 // Requests names the requests whose pieces are in the call, each once for every stage, as REQUEST/STAGE.
@@ -48,13 +53,13 @@
 func (l *Line) Len() int { return l.waiting.Len() }
 
 // Refresh takes these targets for those that may be sent work; a target that has started again holds nothing.
-func (l *Line) Refresh(targets []roster.Target) {
+func (l *Line) Refresh(now time.Time, targets []roster.Target) {
 	usable := make(map[string]bool, len(targets))
 	for _, t := range targets {
 		usable[t.ID] = true
 		x, ok := l.lanes[t.ID]
 		if !ok || x.target.Born != t.Born {
-			x = &lane{held: map[string]holding{}}
+			x = &lane{held: map[string]holding{}, since: now}
 			l.lanes[t.ID] = x
 		}
 		x.target = t
@@ -66,6 +71,58 @@
 	}
 }
 
+// Unsure gives the targets that are to be asked now for the space that they have left.
+//
+// It answers a desk that took over from a node that is gone: what that node had made fills the targets until its time
+// ends, and pieces sent there come back without a result after a whole call.
+func (l *Line) Unsure(now time.Time) []roster.Target {
+	var list []roster.Target
+	for _, x := range l.lanes {
+		if x.settled && x.unknown(now) == 0 || (!x.asked.IsZero() && now.Sub(x.asked) < askEvery) {
+			continue
+		}
+		x.asked = now
+		list = append(list, x.target)
+	}
+	return list
+}
+
+// Hidden tells whether targets are taken to hold results that the line does not know of.
+func (l *Line) Hidden(now time.Time) bool {
+	for _, x := range l.lanes {
+		if x.unknown(now) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Space is what a target says that it has left for results, in bytes: something between the two.
+type Space struct {
+	Least int64
+	Most  int64
+}
+
+// Found takes the space that a target says it has left.
+func (l *Line) Found(now time.Time, terms route.Batch, t roster.Target, s Space) {
+	x, ok := l.lanes[t.ID]
+	if !ok || x.target.Born != t.Born {
+		return
+	}
+	x.settled = true
+	least, most := max(0, terms.Room-s.Most-x.used), max(0, terms.Room-s.Least-x.used)
+	if known := x.unknown(now); known < least || known > most {
+		x.hidden, x.hiddenAt, x.fade = min(max(known, least), most), now, max(x.fade, hiddenFor)
+	}
+}
+
+// Unfound says that a target did not tell its space; it is taken to be free until a call shows otherwise.
+func (l *Line) Unfound(t roster.Target) {
+	if x, ok := l.lanes[t.ID]; ok && x.target.Born == t.Born {
+		x.settled = true
+	}
+}
+
 // Admit gives the expected wait of a group, or a *Refused error if it could not begin in time.
 func (l *Line) Admit(now time.Time, terms route.Batch, g Group) (time.Duration, error) {
 	start, ok := l.waiting.Start(now, g.Count, g.Priority, terms, l.free(now))
@@ -106,12 +163,18 @@
 			continue
 		}
 		expected := time.Duration(float64(terms.Took(len(pieces))) * x.slowness(now))
-		x.busy = true
-		x.freeAt = now.Add(expected)
+		var bytes int64
 		for _, p := range pieces {
-			x.used += p.Bytes
+			bytes += p.Bytes
 		}
-		return &Call{Target: x.target, Pieces: pieces, Started: now, Expected: expected, Ahead: l.waiting.Len(), lane: x}, true
+		c := &Call{
+			Target: x.target, Pieces: pieces, Started: now, Expected: expected, Ahead: l.waiting.Len(),
+			Held: x.used, Hidden: x.unknown(now), Sure: x.sure(now), lane: x,
+		}
+		x.busy = true
+		x.freeAt = now.Add(expected)
+		x.used += bytes
+		return c, true
 	}
 	return nil, false
 }
@@ -129,7 +192,7 @@
 		}
 	}
 	for _, x := range l.lanes {
-		if x.busy || l.passed[x.target.ID] || now.Before(x.avoid) || terms.Room-x.room(now, terms) <= 0 {
+		if x.busy || !x.ready(now) || l.passed[x.target.ID] || now.Before(x.avoid) || terms.Room-x.room(now, terms) <= 0 {
 			continue
 		}
 		s := x.slowness(now)
@@ -185,30 +248,33 @@
 }
 
 // End says that a call brought results; it tells whether the target lacked space for some.
-func (c *Call) End(now time.Time, terms route.Batch, results []Result) (full bool) {
+func (c *Call) End(now time.Time, terms route.Batch, r Reply) (full bool) {
 	c.end()
 	c.lane.fails = 0
 	c.lane.slow = float64(now.Sub(c.Started)-sendMargin) / float64(terms.Took(len(c.Pieces)))
 	c.lane.measured = now
-	var lacked int64
+	if r.Running+r.Waiting > 0 {
+		c.lane.sharedAt = now
+	}
+	var made int64
 	for i, p := range c.Pieces {
-		switch results[i].Reason {
+		switch r.Results[i].Reason {
 		case Made:
-			c.lane.held[results[i].Handle] = holding{bytes: p.Bytes, until: now.Add(terms.Keep)}
+			c.lane.held[r.Results[i].Handle] = holding{bytes: p.Bytes, until: now.Add(terms.Keep)}
 			c.lane.used += p.Bytes
+			made += p.Bytes
 		case Full:
-			lacked += p.Bytes
+			full = true
 		}
 	}
-	if lacked > 0 {
-		c.lane.full(now, terms, lacked)
+	if full {
+		c.lane.full(now, terms, terms.Room-c.Held-made)
+	} else {
+		c.lane.fits(terms)
 	}
-	return lacked > 0
+	return full
 }
 
-// Unknown is the space at the call's target that results hold of which the line knows nothing.
-func (c *Call) Unknown(now time.Time, terms route.Batch) int64 { return c.lane.unknown(now, terms) }
-
 // Freed says that a target holds some results no longer.
 func (l *Line) Freed(address string, handles []string) {
 	for _, x := range l.lanes {
--- a/internal/wire/desk/desk.go
+++ b/internal/wire/desk/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -30,17 +31,27 @@
 	fetchTime = 40 * time.Millisecond
 	// aliveEvery is how often a desk says that it still works on a group.
 	aliveEvery = 300 * time.Millisecond
-	// fullSteps is into how many looks the time is cut that unknown results may stay at a full target.
-	fullSteps = 8
+	// lookEvery is how often a line whose targets hold unknown results is looked at again.
+	lookEvery = 200 * time.Millisecond
+	// readyWait is how long a group waits for the first configuration of a node: it is there some 20 ms after the start
+	// if the store answers. It is below the time after which a desk counts as silent.
+	readyWait = 200 * time.Millisecond
+	// askTimeout bounds the question for a target's space.
+	askTimeout = 300 * time.Millisecond
 )
 
-// ErrUnready is the error of a desk whose node has no configuration yet; another desk may do the work.
-var ErrUnready = merry.Sentinel("desk has no configuration yet")
+// The reasons for which a desk takes no groups; another desk may do the work.
+var (
+	ErrUnready = merry.Sentinel("desk has no configuration yet")
+	ErrLeaving = merry.Sentinel("desk is leaving")
+)
 
 // Caller makes the calls of stage targets.
 type Caller interface {
-	// Run makes one call; the results are in the order of the pieces. An error means that no piece has a result.
-	Run(ctx context.Context, now time.Time, t roster.Target, terms route.Batch, pieces []batch.Piece) ([]batch.Result, error)
+	// Run makes one call. An error means that no piece has a result.
+	Run(ctx context.Context, now time.Time, t roster.Target, terms route.Batch, pieces []batch.Piece) (batch.Reply, error)
+	// Space asks a target what it has left for results.
+	Space(ctx context.Context, t roster.Target) (batch.Space, error)
 	// Free gives results of one target up.
 	Free(ctx context.Context, address string, handles []string) error
 }
@@ -59,6 +70,8 @@
 type Config struct {
 	Caller Caller
 	Table  func() *route.Table
+	// Ready is closed once there is a table.
+	Ready  <-chan struct{}
 	Roster func() *roster.Roster
 	Log    logrus.FieldLogger
 	Now    func() time.Time
@@ -78,6 +91,8 @@
 	last   uint64
 	frees  map[string][]string
 	timer  *time.Timer
+	// leaving tells that the node stops: other desks take new groups.
+	leaving atomic.Bool
 }
 
 // New makes a desk without pieces.
@@ -85,11 +100,40 @@
 	return &Desk{cfg: cfg, lines: map[string]*line{}, groups: map[uint64]*group{}, frees: map[string][]string{}}
 }
 
+// Leave has the desk decline new groups; those that it has are made.
+func (d *Desk) Leave() { d.leaving.Store(true) }
+
+// await waits a little for the first configuration of a node that has just started, and tells as Declines does.
+func (d *Desk) await(ctx context.Context) error {
+	wait := time.NewTimer(readyWait)
+	defer wait.Stop()
+	select {
+	case <-d.cfg.Ready:
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	return d.Declines()
+}
+
+// Declines gives the reason for which the desk takes no groups now, nil if it does.
+func (d *Desk) Declines() error {
+	switch {
+	case d.leaving.Load():
+		return ErrLeaving
+	case d.cfg.Table() == nil:
+		return ErrUnready
+	default:
+		return nil
+	}
+}
+
 // line is the pieces that wait for the targets of one shard of a service.
 type line struct {
 	*batch.Line
 	service string
 	shard   string
+	// looks tells that the line will be looked at again.
+	looks bool
 }
 
 // group is the pieces of one stage of one request that are not all done.
@@ -97,15 +141,22 @@
 	batch.Group
 	id      uint64
 	results []batch.Result
-	done    []bool
-	left    int
-	ready   chan struct{}
-	// unsent counts the pieces that have been in no call yet; begun is closed once targets have fetched the
-	// inputs of all.
-	unsent int
-	begun  chan struct{}
-	// flying counts the calls that each piece is in.
-	flying []int
+	pieces  []progress
+	// left counts the pieces without an end; ready is closed with the last.
+	left  int
+	ready chan struct{}
+	// unfetched counts the pieces whose inputs no target has fetched yet; begun is closed with the last.
+	unfetched int
+	begun     chan struct{}
+}
+
+// progress is how far a piece is.
+type progress struct {
+	done    bool
+	sent    bool
+	fetched bool
+	// flying counts the calls that the piece is in.
+	flying int
 }
 
 // Notice is told how far a group is.
@@ -130,7 +181,7 @@
 		return nil, err
 	}
 	d.last++
-	x := &group{Group: g, id: d.last, results: make([]batch.Result, g.Count), done: make([]bool, g.Count), left: g.Count, ready: make(chan struct{}), unsent: g.Count, begun: make(chan struct{}), flying: make([]int, g.Count)}
+	x := &group{Group: g, id: d.last, results: make([]batch.Result, g.Count), pieces: make([]progress, g.Count), left: g.Count, ready: make(chan struct{}), unfetched: g.Count, begun: make(chan struct{})}
 	d.groups[x.id] = x
 	for i := range g.Count {
 		l.Add(batch.Piece{Group: &x.Group, ID: x.id, Segment: i})
@@ -174,7 +225,8 @@
 	if !ok {
 		return terms, 0, &batch.Refused{Why: "service runs no stages"}
 	}
-	l.Refresh(d.targets(l))
+	l.Refresh(now, d.targets(l))
+	d.ask(now, l, terms)
 	wait, err := l.Admit(now, terms, g)
 	return terms, wait, err
 }
@@ -223,7 +275,8 @@
 			continue
 		}
 		if terms, ok := d.terms(l.service); ok {
-			l.Refresh(d.targets(l))
+			l.Refresh(now, d.targets(l))
+			d.ask(now, l, terms)
 			d.dispatch(now, l, terms)
 		}
 	}
@@ -239,12 +292,18 @@
 			return
 		}
 		for _, p := range c.Pieces {
-			if g := d.groups[p.ID]; g != nil {
-				g.flying[p.Segment]++
+			g := d.groups[p.ID]
+			if g == nil {
+				continue
 			}
-			if p.Tries == 0 {
+			x := &g.pieces[p.Segment]
+			x.flying++
+			if !x.sent {
+				x.sent = true
 				d.cfg.Sent(now, l.service)
-				d.sent(p.ID)
+			}
+			if c.Sure {
+				d.fetched(g, p.Segment)
 			}
 		}
 		d.began(l, c, terms)
@@ -257,7 +316,7 @@
 	d.cfg.Meter.Waiting(l.service, l.Len())
 	d.cfg.Log.WithFields(logrus.Fields{
 		"service": l.service, "target": c.Target.ID, "revision": c.Target.Version, "pieces": len(c.Pieces), "places": terms.Size,
-		"waiting": c.Ahead, "expected_ms": c.Expected.Milliseconds(), "requests": c.Requests(),
+		"waiting": c.Ahead, "held": c.Held, "hidden": c.Hidden, "sure": c.Sure, "expected_ms": c.Expected.Milliseconds(), "requests": c.Requests(),
 	}).Info("desk: stage call begun")
 }
 
@@ -274,14 +333,53 @@
 	d.cfg.Log.WithFields(fields).Info("desk: group " + why)
 }
 
-// sent counts a piece that is in its first call; the lock is held.
-func (d *Desk) sent(id uint64) {
-	g := d.groups[id]
-	if g == nil {
+// fetched says that a target has the inputs of a piece, or will have in a moment; the lock is held.
+func (d *Desk) fetched(g *group, segment int) {
+	if g.pieces[segment].fetched {
 		return
 	}
-	g.unsent--
-	if g.unsent == 0 {
+	g.pieces[segment].fetched = true
+	g.unfetched--
+	if g.unfetched == 0 {
 		time.AfterFunc(fetchTime, func() { close(g.begun) })
 	}
 }
+
+// ask has the targets tell their space of which it is not known; the lock is held.
+func (d *Desk) ask(now time.Time, l *line, terms route.Batch) {
+	for _, t := range l.Unsure(now) {
+		go d.space(l, terms, t)
+	}
+}
+
+func (d *Desk) space(l *line, terms route.Batch, t roster.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	free, err := d.cfg.Caller.Space(ctx, t)
+	now := d.cfg.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		d.cfg.Log.WithError(err).WithFields(logrus.Fields{"service": l.service, "target": t.ID}).Warn("desk: target does not tell its space, it is taken to be free")
+		l.Unfound(t)
+	} else {
+		l.Found(now, terms, t, free)
+		d.cfg.Log.WithFields(logrus.Fields{"service": l.service, "target": t.ID, "least": free.Least, "most": free.Most, "room": terms.Room}).Info("desk: space of a target")
+	}
+	d.look(l)
+	d.dispatch(now, l, terms)
+}
+
+// look has a line looked at again while its targets hold unknown results; the lock is held.
+func (d *Desk) look(l *line) {
+	if l.looks || !l.Hidden(d.cfg.Now()) {
+		return
+	}
+	l.looks = true
+	time.AfterFunc(lookEvery, func() {
+		d.mu.Lock()
+		l.looks = false
+		d.mu.Unlock()
+		d.Changed()
+	})
+}
--- a/internal/wire/desk/desk_test.go
+++ b/internal/wire/desk/desk_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,8 +22,11 @@
 	mu    sync.Mutex
 	calls []madeCall
 	freed []string
-	run   func(n int, t roster.Target, pieces []batch.Piece) ([]batch.Result, error)
-	n     int
+	space func() (batch.Space, error)
+	// others is the number of calls of other desks that the target tells of.
+	others int
+	run    func(n int, t roster.Target, pieces []batch.Piece) ([]batch.Result, error)
+	n      int
 }
 
 type madeCall struct {
@@ -31,18 +35,18 @@
 	at     time.Time
 }
 
-func (f *fakeCaller) Run(_ context.Context, now time.Time, t roster.Target, terms route.Batch, pieces []batch.Piece) ([]batch.Result, error) {
+func (f *fakeCaller) Run(_ context.Context, now time.Time, t roster.Target, terms route.Batch, pieces []batch.Piece) (batch.Reply, error) {
 	f.mu.Lock()
 	f.calls = append(f.calls, madeCall{target: t.ID, pieces: append([]batch.Piece(nil), pieces...), at: now})
 	n := len(f.calls)
 	f.mu.Unlock()
 	if f.run != nil {
 		if out, err := f.run(n, t, pieces); out != nil || err != nil {
-			return out, err
+			return batch.Reply{Results: out, Running: f.others}, err
 		}
 	}
 	time.Sleep(terms.Took(len(pieces)))
-	return f.made(t, pieces), nil
+	return batch.Reply{Results: f.made(t, pieces), Running: f.others}, nil
 }
 
 func (f *fakeCaller) made(t roster.Target, pieces []batch.Piece) []batch.Result {
@@ -56,6 +60,14 @@
 	return out
 }
 
+// Space says that the whole room is free, or what the stand-in is told to.
+func (f *fakeCaller) Space(context.Context, roster.Target) (batch.Space, error) {
+	if f.space != nil {
+		return f.space()
+	}
+	return batch.Space{Least: testTerms.Room, Most: testTerms.Room}, nil
+}
+
 func (f *fakeCaller) Free(_ context.Context, _ string, handles []string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -76,8 +88,10 @@
 	r := roster.New().WithTargets(targets, time.Time{})
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	ready := make(chan struct{})
+	close(ready)
 	return New(Config{
-		Caller: f, Table: func() *route.Table { return table }, Roster: func() *roster.Roster { return r }, Log: log, Meter: noMeter{}, Now: time.Now,
+		Caller: f, Table: func() *route.Table { return table }, Ready: ready, Roster: func() *roster.Roster { return r }, Log: log, Meter: noMeter{}, Now: time.Now,
 		Repeat: func(time.Time, string) bool { return true }, Sent: func(time.Time, string) {},
 	})
 }
@@ -259,16 +273,12 @@
 }
 
 // TestWaitsForRoomThatUnknownResultsHold replays a desk that took over from a node that is gone: the target's room is
-// partly held by results that nobody will free.
+// partly held by results that nobody will free, and the target does not tell its space.
 func TestWaitsForRoomThatUnknownResultsHold(t *testing.T) {
-	f := &fakeCaller{}
+	f := &fakeCaller{space: func() (batch.Space, error) { return batch.Space{}, errors.New("no report") }}
 	f.run = func(n int, x roster.Target, pieces []batch.Piece) ([]batch.Result, error) {
 		if n == 1 {
-			out := make([]batch.Result, len(pieces))
-			for i := range out {
-				out[i].Reason = batch.Full
-			}
-			return out, nil
+			return full(pieces), nil
 		}
 		return nil, nil
 	}
@@ -278,11 +288,69 @@
 		t.Fatalf("got %v (%v), want both pieces made in the end", out, err)
 	}
 	calls := f.seen()
-	if got, want := calls[1].at.Sub(calls[0].at), testTerms.Keep/fullSteps; got < want {
+	if got, want := calls[1].at.Sub(calls[0].at), testTerms.Keep/8; got < want {
 		t.Errorf("second call came %s after the one without room, want at least %s", got, want)
 	}
 }
 
+func full(pieces []batch.Piece) []batch.Result {
+	out := make([]batch.Result, len(pieces))
+	for i := range out {
+		out[i].Reason = batch.Full
+	}
+	return out
+}
+
+// TestAsksATargetForItsSpaceBeforeTheFirstCall replays the same take-over with a target that tells its space: no call
+// is spent on pieces that would come back, and the first one is made as soon as there is space.
+func TestAsksATargetForItsSpaceBeforeTheFirstCall(t *testing.T) {
+	started := time.Now()
+	held := 400 * time.Millisecond
+	f := &fakeCaller{space: func() (batch.Space, error) {
+		if time.Since(started) < held {
+			return batch.Space{Least: 100, Most: 100}, nil
+		}
+		return batch.Space{Least: testTerms.Room, Most: testTerms.Room}, nil
+	}}
+	d := newTestDesk(f, target("t1", "a"))
+	out, err := d.Produce(context.Background(), testGroup("r", 2, 400), noNotice)
+	if err != nil || out[0].Reason != batch.Made || out[1].Reason != batch.Made {
+		t.Fatalf("got %v (%v), want both pieces made", out, err)
+	}
+	calls := f.seen()
+	if got, want := len(calls), 1; got != want {
+		t.Errorf("%d calls, want %d", got, want)
+	}
+	if got, want := calls[0].at.Sub(started), held+2*lookEvery; got < held || got > want {
+		t.Errorf("call came after %s, want between %s and %s", got, held, want)
+	}
+}
+
+// TestKeepsInputsWhileAnotherDeskUsesTheTarget replays two desks of one service, as after a cut: a call may wait behind
+// one of the other desk, and needs its inputs only then.
+func TestKeepsInputsWhileAnotherDeskUsesTheTarget(t *testing.T) {
+	f := &fakeCaller{others: 1}
+	d := newTestDesk(f, target("t1", "a"))
+	if _, err := d.Produce(context.Background(), testGroup("first", 1, 1), noNotice); err != nil {
+		t.Fatal(err)
+	}
+	var ended, begun atomic.Bool
+	f.run = func(n int, x roster.Target, pieces []batch.Piece) ([]batch.Result, error) {
+		time.Sleep(3 * fetchTime)
+		if begun.Load() {
+			t.Error("inputs were given up before the call had ended")
+		}
+		ended.Store(true)
+		return f.made(x, pieces), nil
+	}
+	g := testGroup("second", 1, 1)
+	g.Key, g.Inputs = "", []string{"t9:1/1"}
+	out, err := d.Produce(context.Background(), g, Notice{Queued: func(time.Duration) {}, Begun: func() { begun.Store(true) }})
+	if err != nil || out[0].Reason != batch.Made || !ended.Load() {
+		t.Fatalf("got %v (%v), want the piece made", out, err)
+	}
+}
+
 // TestWaitsForASlowCallWhoseInputsAreFreed replays a target that turns slow: a second call for its pieces would find
 // their inputs gone, while the first still brings its results.
 func TestWaitsForASlowCallWhoseInputsAreFreed(t *testing.T) {
--- a/internal/wire/desk/server.go
+++ b/internal/wire/desk/server.go
@@ -19,7 +19,9 @@
 	begun   state = "begun"
 	alive   state = "alive"
 	refused state = "refused"
-	done    state = "done"
+	// A desk that declines takes no group at all now; another one may.
+	declined state = "declined"
+	done     state = "done"
 )
 
 // server answers other nodes.
@@ -33,6 +35,9 @@
 
 // Produce queues a group of another node's request.
 func (s server) Produce(m *deskpb.Group, out grpc.ServerStreamingServer[deskpb.Progress]) error {
+	if err := s.desk.await(out.Context()); err != nil {
+		return out.Send(&deskpb.Progress{State: string(declined)})
+	}
 	g := fromMessage(s.desk.cfg.Now(), m)
 	// A caller that is gone shows in the stream's context.
 	results, err := s.desk.Produce(out.Context(), g, Notice{
--- a/internal/wire/desk/settle.go
+++ b/internal/wire/desk/settle.go
@@ -15,67 +15,59 @@
 	ctx, cancel := context.WithTimeout(context.Background(), abandonFactor*c.Expected+overdueExtra)
 	defer cancel()
 	overdue := time.AfterFunc(time.Duration(overdueFactor*float64(c.Expected))+overdueExtra, func() { d.overdue(l, c, terms) })
-	results, err := d.cfg.Caller.Run(ctx, c.Started, c.Target, terms, c.Pieces)
+	reply, err := d.cfg.Caller.Run(ctx, c.Started, c.Target, terms, c.Pieces)
 	overdue.Stop()
 	now := d.cfg.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range c.Pieces {
 		if g := d.groups[p.ID]; g != nil {
-			g.flying[p.Segment]--
+			g.pieces[p.Segment].flying--
 		}
 	}
 	if err != nil {
 		d.failed(now, l, c, err)
 	} else {
-		full := c.End(now, terms, results)
-		d.ended(now, l, c, terms, results)
+		full := c.End(now, terms, reply)
+		d.ended(now, l, c, terms, reply)
 		for i, p := range c.Pieces {
-			d.settle(now, l, c, p, results[i])
+			d.settle(now, l, c, p, reply.Results[i])
 		}
 		if full {
-			d.look(c, terms)
+			d.ask(now, l, terms)
+			d.look(l)
 		}
 	}
 	d.dispatch(now, l, terms)
 }
 
 // ended logs and counts a call that brought results.
-func (d *Desk) ended(now time.Time, l *line, c *batch.Call, terms route.Batch, results []batch.Result) {
+func (d *Desk) ended(now time.Time, l *line, c *batch.Call, terms route.Batch, r batch.Reply) {
 	counts := map[batch.Reason]int{}
-	for _, r := range results {
-		counts[r.Reason]++
+	for _, x := range r.Results {
+		counts[x.Reason]++
 	}
 	took := now.Sub(c.Started)
 	d.cfg.Meter.Call(l.service, "made", len(c.Pieces), terms.Size, took)
 	d.cfg.Log.WithFields(logrus.Fields{
 		"service": l.service, "target": c.Target.ID, "pieces": len(c.Pieces), "made": counts[batch.Made], "late": counts[batch.Late],
 		"gone": counts[batch.Gone], "full": counts[batch.Full], "failed": counts[batch.Failed], "ms": took.Milliseconds(),
-		"expected_ms": c.Expected.Milliseconds(), "requests": c.Requests(),
+		"expected_ms": c.Expected.Milliseconds(), "running": r.Running, "at_target": r.Waiting, "requests": c.Requests(),
 	}).Info("desk: stage call ended")
 }
 
-// look looks at the lines again and again while unknown results fade at a target.
-func (d *Desk) look(c *batch.Call, terms route.Batch) {
-	time.AfterFunc(terms.Keep/fullSteps, func() {
-		d.Changed()
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if c.Unknown(d.cfg.Now(), terms) > 0 {
-			d.look(c, terms)
-		}
-	})
-}
-
 // settle takes the result of one piece; the lock is held.
 func (d *Desk) settle(now time.Time, l *line, c *batch.Call, p batch.Piece, r batch.Result) {
 	g := d.groups[p.ID]
-	if g == nil || g.done[p.Segment] {
+	if g == nil || g.pieces[p.Segment].done {
 		if r.Reason == batch.Made {
 			d.free(c.Target.Address, r.Handle)
 		}
 		return
 	}
+	if r.Reason == batch.Made {
+		d.fetched(g, p.Segment)
+	}
 	if r.Reason != batch.Made && d.elsewhere(p) {
 		return
 	}
@@ -100,7 +92,7 @@
 }
 
 func (d *Desk) finish(g *group, segment int, r batch.Result) {
-	g.done[segment] = true
+	g.pieces[segment].done = true
 	g.results[segment] = r
 	g.left--
 	if g.left == 0 {
@@ -120,7 +112,7 @@
 	}).Warn("desk: stage call failed")
 	for _, p := range c.Pieces {
 		g := d.groups[p.ID]
-		if g == nil || g.done[p.Segment] || d.elsewhere(p) {
+		if g == nil || g.pieces[p.Segment].done || d.elsewhere(p) {
 			continue
 		}
 		if !d.again(now, l, p) {
@@ -132,7 +124,7 @@
 // elsewhere tells whether a piece is in another call still, which may bring its result; the lock is held.
 func (d *Desk) elsewhere(p batch.Piece) bool {
 	g := d.groups[p.ID]
-	return g != nil && g.flying[p.Segment] > 0
+	return g != nil && g.pieces[p.Segment].flying > 0
 }
 
 // overdue sends the pieces of a call that seems stuck elsewhere; whichever result comes first counts. Pieces with
@@ -143,7 +135,7 @@
 	defer d.mu.Unlock()
 	sent := 0
 	for _, p := range c.Pieces {
-		if g := d.groups[p.ID]; g != nil && !g.done[p.Segment] && len(p.Inputs) == 0 && d.again(now, l, p) {
+		if g := d.groups[p.ID]; g != nil && !g.pieces[p.Segment].done && len(p.Inputs) == 0 && d.again(now, l, p) {
 			sent++
 		}
 	}
@@ -170,8 +162,8 @@
 		return
 	}
 	l.Drop(id)
-	for i := range g.done {
-		if !g.done[i] {
+	for i := range g.pieces {
+		if !g.pieces[i].done {
 			d.finish(g, i, batch.Result{Reason: batch.Late})
 		}
 	}
--- a/internal/wire/desk/switchboard.go
+++ b/internal/wire/desk/switchboard.go
@@ -27,12 +27,12 @@
 	ackTimeout = 300 * time.Millisecond
 	// silence is how long a desk may then stay without a word, three times the time between two.
 	silence = 3 * aliveEvery
-	// shunFor is how long a node that did not answer is passed over at first; it doubles up to shunMax, so that
-	// the entry of a node that is gone for good costs little.
-	shunFor = 2 * time.Second
-	shunMax = 16 * time.Second
-	// maxDesks is how many desks are asked before the node does the work itself.
-	maxDesks = 2
+	// maxDesks is how many desks are asked before the node does the work itself, maxSilent how many of them may take
+	// their time to fail.
+	maxDesks  = 6
+	maxSilent = 2
+	// closeAfter is how long calls that still run on the connection of a lost node have to end.
+	closeAfter = 2 * time.Second
 
 	minConnect   = 500 * time.Millisecond
 	minReconnect = 100 * time.Millisecond
@@ -48,19 +48,6 @@
 	shun  map[string]shun
 }
 
-// shun is how often one run of a node did not answer in a row, and until when it is passed over.
-type shun struct {
-	born  int64
-	fails int
-	until time.Time
-}
-
-// passes tells whether a node is passed over at now. A node that has started again is not: all nodes must come back to
-// the same desk soon, since two desks fill the same targets badly.
-func (x shun) passes(now time.Time, n roster.Node) bool {
-	return x.born == n.Born && now.Before(x.until)
-}
-
 // SwitchboardConfig is what a switchboard is made of.
 type SwitchboardConfig struct {
 	// Self is the name of this node.
@@ -137,14 +124,26 @@
 // Produce has a group made at its desk; it is done here if no desk answers.
 // begun is called once the inputs of the group are no longer needed.
 func (s *Switchboard) Produce(ctx context.Context, g batch.Group, begun func()) (Output, error) {
+	silent := 0
 	for range maxDesks {
-		now := s.cfg.Now()
-		name := s.desk(now, g.Service, g.Shard)
+		if silent == maxSilent {
+			break
+		}
+		asked := s.cfg.Now()
+		name := s.desk(asked, g.Service, g.Shard)
 		node, ok := s.cfg.Roster().Node(name)
-		if name == s.cfg.Self || !ok {
+		if !ok {
 			break
 		}
-		results, err := s.ask(ctx, now, node, g, begun)
+		if name == s.cfg.Self {
+			err := s.cfg.Desk.Declines()
+			if err == nil {
+				break
+			}
+			s.lost(asked, node, g, errDeclined)
+			continue
+		}
+		results, err := s.ask(ctx, asked, node, g, begun)
 		var r *batch.Refused
 		if err == nil || errors.As(err, &r) {
 			s.found(node.Name)
@@ -152,7 +151,10 @@
 		if err == nil || errors.As(err, &r) || ctx.Err() != nil {
 			return Output{Node: name, Results: results}, err
 		}
-		s.lost(now, node, g, err)
+		s.lost(asked, node, g, err)
+		if !refusedAtOnce(err) {
+			silent++
+		}
 	}
 	results, err := s.cfg.Desk.Produce(ctx, g, Notice{Queued: func(time.Duration) {}, Begun: begun})
 	return Output{Node: s.cfg.Self, Results: results}, err
@@ -165,26 +167,23 @@
 	delete(s.shun, name)
 }
 
-// lost passes a node over for a while.
-func (s *Switchboard) lost(now time.Time, node roster.Node, g batch.Group, err error) {
+// lost passes a node over for a while that was asked at a time and did not do the work.
+func (s *Switchboard) lost(asked time.Time, node roster.Node, g batch.Group, err error) {
+	now := s.cfg.Now()
 	s.mu.Lock()
-	x := s.shun[node.Name]
-	if x.born != node.Born {
-		x = shun{born: node.Born}
-	}
-	x.fails++
-	wait := min(shunMax, shunFor<<min(x.fails-1, 8))
-	x.until = now.Add(wait)
+	x := s.shun[node.Name].after(asked, now, node, err)
 	s.shun[node.Name] = x
-	conn := s.conns[node.Address]
-	delete(s.conns, node.Address)
+	var conn *grpc.ClientConn
+	if err != errDeclined {
+		conn = s.conns[node.Address]
+		delete(s.conns, node.Address)
+	}
 	s.mu.Unlock()
 	if conn != nil {
-		// Calls that still run on it may be alive; they get a moment to end.
-		time.AfterFunc(shunFor, func() { _ = conn.Close() })
+		time.AfterFunc(closeAfter, func() { _ = conn.Close() })
 	}
 	s.cfg.Log.WithError(err).WithFields(logrus.Fields{
-		"request": g.Request, "service": g.Service, "peer": node.Name, "shun_ms": wait.Milliseconds(),
+		"request": g.Request, "service": g.Service, "peer": node.Name, "shun_ms": x.until.Sub(now).Milliseconds(),
 	}).Warn("desk: node did not answer, another one is asked")
 }
 
@@ -206,7 +205,11 @@
 	return deskpb.NewDeskClient(conn), nil
 }
 
-var errSilent = merry.Sentinel("node fell silent")
+// The ways in which another node's desk does not do the work.
+var (
+	errSilent   = merry.Sentinel("node fell silent")
+	errDeclined = merry.Sentinel("desk takes no groups now")
+)
 
 // ask has a group made by another node.
 func (s *Switchboard) ask(ctx context.Context, now time.Time, node roster.Node, g batch.Group, freed func()) ([]batch.Result, error) {
@@ -235,6 +238,8 @@
 		case queued, alive:
 		case begun:
 			freed()
+		case declined:
+			return nil, errDeclined
 		case refused:
 			return nil, &batch.Refused{Wait: time.Duration(p.WaitUs) * time.Microsecond, Why: p.Results[0].Reason}
 		case done:
