Let pieces wait for a target beside their inputs by what is still to come

Pieces waited for a target at home only if it was free 100 ms before the latest start, if no more than one call's pieces waited for that home, and from 200 KB on; the last stage, with the least time left, hardly ever did. Change: Shape.Home gives the data centre of the most inputs; pieces wait for it from 50 KB on, until 200 ms for each call still to come before the latest start, and no more than half of what the targets there begin next.

--- a/internal/serving/batch/group.go
+++ b/internal/serving/batch/group.go
@@ -23,9 +23,10 @@
 	Prompt time.Time
 	Last   time.Time
 	// Home is the data centre in which the pieces are best made, "" for any, and Weight the bytes for each piece
-	// that cross to or from another one if they are made there.
+	// that cross to or from another one if they are made there. Until Stay they wait for a target at home.
 	Home   string
 	Weight int64
+	Stay   time.Time
 }
 
 // Piece is one unit of a group that waits for a target.
--- a/internal/serving/batch/line.go
+++ b/internal/serving/batch/line.go
@@ -206,17 +206,19 @@
 	return best
 }
 
-// homes gives for each data centre when its next target is free.
-func (l *Line) homes(now time.Time) map[string]time.Time {
-	list := map[string]time.Time{}
+// homes gives the sound targets of each data centre.
+func (l *Line) homes(now time.Time) map[string]home {
+	list := map[string]home{}
 	for _, x := range l.lanes {
 		if x.slowness(now) >= slowFrom {
 			continue
 		}
-		at := x.begins(now)
-		if before, ok := list[x.target.Datacentre]; !ok || at.Before(before) {
-			list[x.target.Datacentre] = at
+		h, ok := list[x.target.Datacentre]
+		if at := x.begins(now); !ok || at.Before(h.free) {
+			h.free = at
 		}
+		h.targets++
+		list[x.target.Datacentre] = h
 	}
 	return list
 }
--- a/internal/serving/batch/queue.go
+++ b/internal/serving/batch/queue.go
@@ -118,17 +118,16 @@
 // their aim go first, by priority and then by the time that is left; those that are late already fill the call
 // up, so that no time is spent on them while others can still be on time.
 //
-// It also answers results that are large: a piece that is best made in another data centre is left to a target there, if one is free soon enough for the request's aim; homes says when.
-func (q *Queue) Take(now time.Time, size int, room int64, home string, homes map[string]time.Time) []Piece {
-	sort.SliceStable(q.pieces, func(i, j int) bool { return before(q.pieces[i], q.pieces[j], now, home) })
-	waiting := map[string]int{}
-	for _, p := range q.pieces {
-		waiting[p.Home]++
-	}
+// It also answers results that are large: a piece that is best made in another data centre is left to a target there if
+// one is free soon enough, up to half of what the targets there can begin next; homes tells of them.
+func (q *Queue) Take(now time.Time, size int, room int64, at string, homes map[string]home) []Piece {
+	sort.SliceStable(q.pieces, func(i, j int) bool { return before(q.pieces[i], q.pieces[j], now, at) })
+	left := map[string]int{}
 	var taken []Piece
 	kept := q.pieces[:0]
 	for _, p := range q.pieces {
-		if p.stays(home, homes) && waiting[p.Home] <= size {
+		if p.stays(at, homes) && left[p.Home] < size*homes[p.Home].targets/2 {
+			left[p.Home]++
 			kept = append(kept, p)
 			continue
 		}
@@ -143,20 +142,22 @@
 	return taken
 }
 
-const (
-	// heavy is the weight from which the way between data centres costs more than a short wait, in bytes.
-	heavy = 200_000
-	// homeSlack is kept between the time at which a target at home is free and the latest useful start.
-	homeSlack = 100 * time.Millisecond
-)
+// home is the targets of one data centre: their number, and when the next of them is free.
+type home struct {
+	targets int
+	free    time.Time
+}
+
+// heavy is the weight from which the way between data centres costs more than a short wait, in bytes.
+const heavy = 50_000
 
 // stays tells whether a piece waits for a target in its home rather than going to one in the data centre at.
-func (p Piece) stays(at string, homes map[string]time.Time) bool {
+func (p Piece) stays(at string, homes map[string]home) bool {
 	if p.Home == "" || p.Home == at || p.Weight < heavy {
 		return false
 	}
-	free, ok := homes[p.Home]
-	return ok && !free.Add(homeSlack).After(p.Prompt)
+	h, ok := homes[p.Home]
+	return ok && !h.free.After(p.Stay)
 }
 
 // before orders two waiting pieces for a target in the data centre home.
--- a/internal/serving/batch/queue_test.go
+++ b/internal/serving/batch/queue_test.go
@@ -47,17 +47,17 @@
 }
 
 func TestLeavesHeavyPiecesToATargetAtHome(t *testing.T) {
-	large := piece(Group{Request: "a", Prompt: at(500), Home: "home", Weight: heavy})
+	large := piece(Group{Request: "a", Prompt: at(500), Stay: at(400), Home: "home", Weight: heavy})
 	for _, c := range []struct {
 		name  string
 		piece Piece
-		homes map[string]time.Time
+		homes map[string]home
 		want  string
 	}{
-		{"home is free in time", large, map[string]time.Time{"home": at(300)}, ""},
-		{"home is free too late", large, map[string]time.Time{"home": at(450)}, "a"},
+		{"home is free in time", large, map[string]home{"home": {1, at(300)}}, ""},
+		{"home is free too late", large, map[string]home{"home": {1, at(450)}}, "a"},
 		{"home has no targets", large, nil, "a"},
-		{"light piece", piece(Group{Request: "a", Prompt: at(500), Home: "home", Weight: heavy - 1}), map[string]time.Time{"home": at(0)}, "a"},
+		{"light piece", piece(Group{Request: "a", Prompt: at(500), Stay: at(400), Home: "home", Weight: heavy - 1}), map[string]home{"home": {1, at(0)}}, "a"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var q Queue
--- a/internal/serving/plan/plan.go
+++ b/internal/serving/plan/plan.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
@@ -44,6 +45,56 @@
 	return tails
 }
 
+// Home gives the data centre in which the pieces of a stage are best made, "" if any will do, and the bytes for each
+// piece that cross to or from another one if they are made there. results counts those of each stage by data centre;
+// last is where the request's target is likely to be.
+//
+// It answers chains whose results are fetched many times: each piece of the next stage fetches every result, so the
+// pieces of one request belong together.
+func (s Shape) Home(i int, results []map[string]int, last string) (datacentre string, weight int64) {
+	from := map[string]int64{}
+	for _, a := range s.Stages[i].After {
+		for d, n := range results[a] {
+			from[d] += int64(n) * s.Stages[a].Bytes
+		}
+	}
+	if last != "" && !s.read(i) {
+		from[last] += s.Stages[i].Bytes
+	}
+	for d, w := range from {
+		if w > weight || (w == weight && d < datacentre) {
+			datacentre, weight = d, w
+		}
+	}
+	return datacentre, weight
+}
+
+// stayMargin is kept for each call that is still to come when pieces wait for a target at home: each may wait for a
+// target too, for a usual call at the most.
+const stayMargin = 200 * time.Millisecond
+
+// Stay is until when the pieces of a stage wait for a target at home, given the latest start with which the request
+// meets its aim.
+func (s Shape) Stay(i int, prompt time.Time) time.Time {
+	return prompt.Add(-stayMargin * time.Duration(1+s.behind(i)))
+}
+
+// behind is the largest number of stages with pieces that come one after the other behind a stage.
+func (s Shape) behind(i int) int {
+	n := 0
+	for k, next := range s.Stages {
+		if k < len(s.Pieces) && s.Pieces[k] > 0 && slices.Contains(next.After, i) {
+			n = max(n, 1+s.behind(k))
+		}
+	}
+	return n
+}
+
+// read tells whether a stage's results are read by another stage.
+func (s Shape) read(i int) bool {
+	return slices.ContainsFunc(s.Stages, func(next route.Stage) bool { return slices.Contains(next.After, i) })
+}
+
 // own is the time of a call with the pieces of a stage.
 func (s Shape) own(i int) time.Duration {
 	if i >= len(s.Pieces) || s.Pieces[i] == 0 {
--- a/internal/wire/desk/desk.go
+++ b/internal/wire/desk/desk.go
@@ -315,7 +315,7 @@
 func (d *Desk) began(l *line, c *batch.Call, terms route.Batch) {
 	d.cfg.Meter.Waiting(l.service, l.Len())
 	d.cfg.Log.WithFields(logrus.Fields{
-		"service": l.service, "target": c.Target.ID, "revision": c.Target.Version, "pieces": len(c.Pieces), "places": terms.Size,
+		"service": l.service, "target": c.Target.ID, "datacentre": c.Target.Datacentre, "revision": c.Target.Version, "pieces": len(c.Pieces), "places": terms.Size,
 		"waiting": c.Ahead, "held": c.Held, "hidden": c.Hidden, "sure": c.Sure, "expected_ms": c.Expected.Milliseconds(), "requests": c.Requests(),
 	}).Info("desk: stage call begun")
 }
--- a/internal/wire/desk/server.go
+++ b/internal/wire/desk/server.go
@@ -71,7 +71,7 @@
 	return &deskpb.Group{
 		Service: g.Service, Shard: g.Shard, Request: g.Request, Stage: int32(g.Stage), Count: int32(g.Count), Key: g.Key,
 		Inputs: g.Inputs, Bytes: g.Bytes, Priority: int32(g.Priority), Home: g.Home, Weight: g.Weight,
-		PromptUs: g.Prompt.Sub(now).Microseconds(), LastUs: g.Last.Sub(now).Microseconds(),
+		PromptUs: g.Prompt.Sub(now).Microseconds(), LastUs: g.Last.Sub(now).Microseconds(), StayUs: g.Stay.Sub(now).Microseconds(),
 	}
 }
 
@@ -79,6 +79,6 @@
 	return batch.Group{
 		Service: m.Service, Shard: m.Shard, Request: m.Request, Stage: int(m.Stage), Count: int(m.Count), Key: m.Key,
 		Inputs: m.Inputs, Bytes: m.Bytes, Priority: int(m.Priority), Home: m.Home, Weight: m.Weight,
-		Prompt: now.Add(time.Duration(m.PromptUs) * time.Microsecond), Last: now.Add(time.Duration(m.LastUs) * time.Microsecond),
+		Prompt: now.Add(time.Duration(m.PromptUs) * time.Microsecond), Last: now.Add(time.Duration(m.LastUs) * time.Microsecond), Stay: now.Add(time.Duration(m.StayUs) * time.Microsecond),
 	}
 }
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -135,7 +135,7 @@
 // placed logs where a request goes and what spoke for it.
 func (g *Gateway) placed(now time.Time, j *job, c placing.Candidate, try int) {
 	g.cfg.Log.WithFields(logrus.Fields{
-		"request": j.ID, "target": c.Target.ID, "service": j.service.Name, "try": try, "running": c.Running, "unread": c.Unread,
+		"request": j.ID, "target": c.Target.ID, "datacentre": c.Target.Datacentre, "service": j.service.Name, "try": try, "running": c.Running, "unread": c.Unread,
 		"avoid": c.Avoid, "cold": c.Target.Cold(now), "revision": c.Target.Version, "left_ms": j.end.Sub(now).Milliseconds(),
 	}).Info("gateway: target chosen")
 }
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -88,7 +87,7 @@
 		go func() {
 			defer all.Done()
 			defer close(ready[i])
-			if err := g.stage(ctx, j, c, i, ready, tails[i], home); err != nil {
+			if err := g.stage(ctx, j, c, i, ready, shape, tails[i], home); err != nil {
 				c.fail(err)
 				cancel()
 			}
@@ -119,7 +118,7 @@
 }
 
 // stage waits for the stages before it and has its pieces made.
-func (g *Gateway) stage(ctx context.Context, j *job, c *chain, i int, ready []chan struct{}, tail time.Duration, home string) error {
+func (g *Gateway) stage(ctx context.Context, j *job, c *chain, i int, ready []chan struct{}, shape plan.Shape, tail time.Duration, home string) error {
 	s := j.route.Stages[i]
 	group := batch.Group{
 		Service: s.Service, Request: j.ID, Stage: i,
@@ -149,7 +148,8 @@
 	if len(group.Inputs) == 0 {
 		group.Key = j.PieceKey
 	}
-	group.Home, group.Weight = c.home(j.route.Stages, i, home)
+	group.Home, group.Weight = shape.Home(i, c.counts(), home)
+	group.Stay = shape.Stay(i, group.Prompt)
 	started := g.cfg.Now()
 	out, err := g.produce(ctx, group, func() { g.free(c.fetched(j.route.Stages, i)) })
 	c.mu.Lock()
@@ -190,31 +190,18 @@
 	return out, err
 }
 
-// home gives where the pieces of a stage are best made: every piece fetches all inputs of the stage, and its result is
-// fetched by every piece of the stages behind it, or once by the target in the data centre last.
-func (c *chain) home(stages []route.Stage, i int, last string) (datacentre string, weight int64) {
+// counts gives the results of each stage by data centre.
+func (c *chain) counts() []map[string]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	from := map[string]int64{}
-	for _, a := range stages[i].After {
-		for _, x := range c.results[a] {
-			from[x.Datacentre] += stages[a].Bytes
-		}
-	}
-	for _, s := range stages {
-		if slices.Contains(s.After, i) {
-			last = ""
+	list := make([]map[string]int, len(c.results))
+	for i, results := range c.results {
+		list[i] = map[string]int{}
+		for _, x := range results {
+			list[i][x.Datacentre]++
 		}
 	}
-	if last != "" {
-		from[last] += stages[i].Bytes
-	}
-	for d, w := range from {
-		if w > weight || (w == weight && d < datacentre) {
-			datacentre, weight = d, w
-		}
-	}
-	return datacentre, weight
+	return list
 }
 
 // unprepared answers a request whose stages did not end well; the request itself has not been sent.
