Give late pieces up when pieces in time leave no place for them

Change: a line knows which part of its last calls went to pieces in time; a late piece is taken to get its place from the rest only, and is given up when that is after its caller leaves. The caller comes back after a quarter of its time.

--- a/internal/serving/batch/line.go
+++ b/internal/serving/batch/line.go
@@ -14,6 +14,22 @@
 	lanes   map[string]*lane
 	// passed are the targets for which nothing waits in this round.
 	passed map[string]bool
+	// prompt is the part of the places of the last calls that went to pieces in time.
+	prompt float64
+}
+
+// promptCalls is over how many calls of each target that part is taken: those of a second.
+const promptCalls = 4
+
+// took counts the pieces of a call that can still meet their aim.
+func (l *Line) took(now time.Time, terms route.Batch, pieces []Piece) {
+	n := 0
+	for _, p := range pieces {
+		if !now.After(p.Prompt) {
+			n++
+		}
+	}
+	l.prompt += (float64(n)/float64(terms.Size) - l.prompt) / float64(promptCalls*len(l.lanes))
 }
 
 // NewLine is a line without targets.
@@ -143,7 +159,7 @@
 
 // Late removes and gives the pieces that cannot begin in time any more.
 func (l *Line) Late(now time.Time, terms route.Batch) []Piece {
-	return append(l.waiting.Expire(now), l.waiting.Hopeless(now, terms, l.free(now))...)
+	return append(l.waiting.Expire(now), l.waiting.Hopeless(now, terms, l.free(now), 1-l.prompt)...)
 }
 
 // Round begins a round of Begin calls: every target may be asked again.
@@ -162,6 +178,7 @@
 			l.passed[x.target.ID] = true
 			continue
 		}
+		l.took(now, terms, pieces)
 		expected := time.Duration(float64(terms.Took(len(pieces))) * x.slowness(now))
 		var bytes int64
 		for _, p := range pieces {
--- a/internal/serving/batch/line_test.go
+++ b/internal/serving/batch/line_test.go
@@ -153,3 +153,35 @@
 		t.Error("the slow target got no call though many pieces wait")
 	}
 }
+
+// TestGivesUpLatePiecesThatOthersLeaveNoPlaceFor replays a burst that goes on: pieces in time fill every call, so a
+// piece that is late already would wait until its caller has left.
+func TestGivesUpLatePiecesThatOthersLeaveNoPlaceFor(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		burst int
+		want  int
+	}{
+		{"calls are filled by pieces in time", 4, 1},
+		{"calls have places left", 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := lineOf("t1")
+			late := piece(Group{Request: "late", Bytes: 1, Prompt: at(100), Last: at(6000)})
+			l.Add(late)
+			now := start.Add(time.Second)
+			gave := 0
+			for range 16 {
+				l.fill(c.burst, 1)
+				gave += len(l.Late(now, lineTerms))
+				call := begin(t, l, now)
+				now = now.Add(call.Expected)
+				call.End(now, lineTerms, replies(call, len(call.Pieces)))
+				l.lanes["t1"].held, l.lanes["t1"].used = map[string]holding{}, 0
+			}
+			if gave != c.want {
+				t.Errorf("%d late pieces were given up, want %d", gave, c.want)
+			}
+		})
+	}
+}
--- a/internal/serving/batch/queue.go
+++ b/internal/serving/batch/queue.go
@@ -49,9 +49,9 @@
 // Hopeless removes and gives the pieces that will not begin in time by what waits before them.
 //
 // It answers a burst that goes on: what came later and is more urgent pushes others back, and those are better told
-// at once than kept until their time is over.
-func (q *Queue) Hopeless(now time.Time, b route.Batch, free []time.Time) []Piece {
-	if len(free) == 0 || b.Size == 0 || len(q.pieces) <= b.Size*len(free) {
+// at once than kept until their time is over. spare is the part of the targets' calls that is left for late pieces.
+func (q *Queue) Hopeless(now time.Time, b route.Batch, free []time.Time, spare float64) []Piece {
+	if len(free) == 0 || b.Size == 0 || (len(q.pieces) <= b.Size*len(free) && spare >= scarce) {
 		return nil
 	}
 	sort.SliceStable(q.pieces, func(i, j int) bool { return before(q.pieces[i], q.pieces[j], now, "") })
@@ -59,23 +59,33 @@
 	var out []Piece
 	kept := q.pieces[:0]
 	for _, p := range q.pieces {
+		if now.After(p.Prompt) {
+			// Pieces in time that are still to come go before it.
+			calls.add(1/max(spare, minSpare) - 1)
+		}
 		if calls.start().After(p.Last) {
 			out = append(out, p)
 			continue
 		}
-		calls.add()
+		calls.add(1)
 		kept = append(kept, p)
 	}
 	q.pieces = kept
 	return out
 }
 
+// scarce is the part of the calls below which late pieces are looked at though few wait.
+const scarce = 0.5
+
+// minSpare is the least part of the calls that is taken to be left for late pieces.
+const minSpare = 0.02
+
 // calls works out when the calls of targets begin if each is filled.
 type calls struct {
 	b     route.Batch
 	free  []time.Time
 	at    int
-	count int
+	count float64
 }
 
 func newCalls(now time.Time, b route.Batch, free []time.Time) *calls {
@@ -102,14 +112,15 @@
 // start is when the call begins that the next piece is in.
 func (c *calls) start() time.Time { return c.free[c.at] }
 
-// add puts a piece into the call.
-func (c *calls) add() {
-	c.count++
-	if c.count < c.b.Size {
-		return
+// add puts a piece into the call that takes so many places: more than one if others will come before it.
+func (c *calls) add(places float64) {
+	c.count += places
+	for c.count >= float64(c.b.Size) {
+		left := c.count - float64(c.b.Size)
+		c.free[c.at] = c.free[c.at].Add(c.b.Took(c.b.Size))
+		c.next()
+		c.count = left
 	}
-	c.free[c.at] = c.free[c.at].Add(c.b.Took(c.b.Size))
-	c.next()
 }
 
 // Take removes and gives the pieces of the next call: at most size of them, whose results fit into room bytes.
@@ -189,7 +200,7 @@
 	start := now
 	for range ahead + n {
 		start = calls.start()
-		calls.add()
+		calls.add(1)
 	}
 	return start, true
 }
--- a/internal/serving/batch/queue_test.go
+++ b/internal/serving/batch/queue_test.go
@@ -121,12 +121,12 @@
 		p := piece(Group{Request: string(rune('a' + i)), Prompt: at(5000), Last: at(900), Priority: i % 2})
 		q.Add(p)
 	}
-	got := names(q.Hopeless(start, b, []time.Time{at(100)}))
+	got := names(q.Hopeless(start, b, []time.Time{at(100)}, 1))
 	// Calls begin at 100, 300, 500, 700 and 900 ms; two pieces fit into each.
 	if want := ""; got != want {
 		t.Errorf("gave up %q, want %q", got, want)
 	}
-	got = names(q.Hopeless(start, b, []time.Time{at(400)}))
+	got = names(q.Hopeless(start, b, []time.Time{at(400)}, 1))
 	// Calls begin at 400, 600 and 800 ms.
 	if want := "dfhj"; got != want {
 		t.Errorf("gave up %q, want the least urgent, %q", got, want)
--- a/internal/serving/plan/plan.go
+++ b/internal/serving/plan/plan.go
@@ -104,6 +104,17 @@
 	return b.Took(min(s.Pieces[i], b.Size))
 }
 
+// laterPart is the part of the time left after which a caller whose request was pushed back comes again: callers wait a
+// third of it at most, and those who are refused together are spread over some more.
+const laterPart = 0.25
+
+// Later is when a caller should come back whose request waited and was pushed back by others.
+//
+// It answers a burst whose end is not known: who comes back at once meets it again.
+func Later(now, end time.Time) time.Duration {
+	return max(minReturn, time.Duration(laterPart*float64(end.Sub(now))))
+}
+
 // minReturn keeps refused callers from coming back into the same moment.
 const minReturn = 100 * time.Millisecond
 
--- a/internal/serving/plan/plan_test.go
+++ b/internal/serving/plan/plan_test.go
@@ -36,3 +36,13 @@
 		}
 	}
 }
+
+func TestCallersThatWerePushedBackComeAgainWithinTheirPatience(t *testing.T) {
+	now := time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+	for _, left := range []time.Duration{time.Second, 6 * time.Second} {
+		got := Later(now, now.Add(left))
+		if most := left / 3; got > most || got < left/5 {
+			t.Errorf("%s left: comes back after %s, want at most a third of it, and not soon", left, got)
+		}
+	}
+}
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -215,7 +215,11 @@
 	case errors.As(err, &full):
 		return refusal(causeCrowded, full.Error(), plan.Return(g.cfg.Now(), full.Wait, j.first))
 	case errors.As(err, &stage):
-		out := refusal(causePiece, stage.Error(), retrySoon)
+		retry := retrySoon
+		if stage.reason == batch.Late {
+			retry = plan.Later(g.cfg.Now(), j.first)
+		}
+		out := refusal(causePiece, stage.Error(), retry)
 		out.inputGone = stage.reason == batch.Gone || stage.reason == batch.Failed
 		return out
 	default:
