--- a/cmd/lacewingdrift/measure.go
+++ b/cmd/lacewingdrift/measure.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/bench/experiment"
 	"github.com/lacewingdrift/lacewingdrift/internal/bench/load"
 	"github.com/lacewingdrift/lacewingdrift/internal/bench/picture"
+	"github.com/lacewingdrift/lacewingdrift/internal/bench/replay"
 )
 
 const measureUsage = `Measure offers requests at random times, whatever becomes of earlier ones, and
@@ -23,7 +25,12 @@
 on it: steady, burst, coldstart, datacentre, targetloss or outage. --policy naive
 runs the same load through a router that goes round robin, retries a fixed number
 of times and limits nothing. With --nodes-at it offers a steady load to a system
-that runs elsewhere.`
+that runs elsewhere.
+
+The experiments stageburst, hotkey, retries, slowstage and ownerlost run the
+decisions on batched stages and model targets in virtual time, against emulated
+targets and callers that come back. There --policy alone has each node fill calls
+for itself, and naive gives each request calls of its own.`
 
 type measureFlags struct {
 	cfg     experiment.Config
@@ -44,6 +51,7 @@
 		Long:  measureUsage,
 		Example: `  lacewingdrift measure --experiment datacentre --for 30s --plot datacentre.svg
   lacewingdrift measure --experiment steady --policy naive --seeds 5
+  lacewingdrift measure --experiment stageburst --seeds 12 --for 30s
   lacewingdrift measure --nodes-at 127.0.0.1:8000,127.0.0.1:8001 --rate 50`,
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -53,8 +61,8 @@
 	}
 	s := c.Flags()
 	s.StringVar(&f.cfg.Deployment, "deployment", "zoo", "zoo or driveway")
-	s.StringVar(&f.name, "experiment", "steady", "steady, burst, coldstart, datacentre, targetloss or outage")
-	s.StringVar(&f.policy, "policy", "ours", "ours or naive")
+	s.StringVar(&f.name, "experiment", "steady", "steady, burst, coldstart, datacentre, targetloss or outage; stageburst, hotkey, retries, slowstage or ownerlost")
+	s.StringVar(&f.policy, "policy", "ours", "ours or naive; alone for stages")
 	s.IntVar(&f.cfg.Nodes, "nodes", 6, "how many nodes to run")
 	s.DurationVar(&f.cfg.For, "for", 20*time.Second, "how long to offer requests")
 	s.Uint64Var(&f.cfg.Seed, "seed", 1, "the seed of the random choices")
@@ -68,6 +76,15 @@
 }
 
 func (f *measureFlags) run(w io.Writer) error {
+	if p, ok := replay.Experiment(replay.Name(f.name), f.cfg.For); ok {
+		if f.cfg.For <= 0 {
+			return merry.New("for: must be above 0")
+		}
+		if !slices.Contains(replay.Policies, replay.Policy(f.policy)) {
+			return merry.Errorf("policy: must be one of %v, not %q", replay.Policies, f.policy)
+		}
+		return f.replays(w, p)
+	}
 	if f.policy != string(experiment.Ours) && f.policy != string(experiment.Naive) {
 		return merry.Errorf("policy: must be ours or naive, not %q", f.policy)
 	}
--- /dev/null
+++ b/cmd/lacewingdrift/replay.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/bench/picture"
+	"github.com/lacewingdrift/lacewingdrift/internal/bench/replay"
+)
+
+// replays runs an experiment on emulated stage targets and model targets, once for each seed.
+func (f *measureFlags) replays(w io.Writer, p replay.Pattern) error {
+	for range f.seeds {
+		r := replay.Run(replay.Config{Deployment: replay.Batching(), Pattern: p, Policy: replay.Policy(f.policy), Seed: f.cfg.Seed})
+		if f.plot != "" {
+			if err := picture.Draw(f.plot, fmt.Sprintf("batching, %s, %s", f.name, f.policy), r.Timeline); err != nil {
+				return err
+			}
+		}
+		if f.output == "json" {
+			if err := json.NewEncoder(w).Encode(r); err != nil {
+				return err
+			}
+		} else {
+			printReplay(w, f.name, r)
+		}
+		f.cfg.Seed++
+	}
+	return nil
+}
+
+func printReplay(w io.Writer, name string, r replay.Report) {
+	fmt.Fprintf(w, "experiment=%s policy=%s seed=%d\n", name, r.Policy, r.Seed)
+	fmt.Fprintf(w, "credit=%.4f fill=%.2f crowded=%.2f stage seconds=%.1f wasted=%.1f (%.1f%%) crossed=%dMB read again=%d tokens\n",
+		r.Credit, r.Fill, r.Crowded, r.StageSeconds, r.Wasted, 100*r.Wasted/max(r.StageSeconds, 1), r.Crossed>>20, r.ReadAgain)
+	for _, s := range r.Shares {
+		fmt.Fprintf(w, "%-8s offered=%d aim=%d (%.3f) late=%d failed=%d p50=%s p95=%s p99=%s\n",
+			s.Kind, s.Offered, s.Aim, float64(s.Aim)/float64(max(s.Offered, 1)), s.Late, s.Failed,
+			s.P50.Round(time.Millisecond), s.P95.Round(time.Millisecond), s.P99.Round(time.Millisecond))
+	}
+	fmt.Fprintf(w, "refused %v p95=%s, failed %v\n", r.Refused, r.RefusedP95.Round(time.Millisecond), r.Failures)
+	printTimeline(w, r.Timeline)
+	fmt.Fprintln(w)
+}
--- a/internal/serving/batch/line.go
+++ b/internal/serving/batch/line.go
@@ -1,7 +1,9 @@
 package batch
 
 import (
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
@@ -100,6 +102,7 @@
 		x.asked = now
 		list = append(list, x.target)
 	}
+	slices.SortFunc(list, func(a, b roster.Target) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
 
