--- a/internal/bench/experiment/experiment.go
+++ b/internal/bench/experiment/experiment.go
@@ -98,7 +98,7 @@
 	act func(*bed.Bed, *control, time.Duration)
 }
 
-func flat(at, whole time.Duration, full float64) float64 { return full }
+func flat(_, _ time.Duration, full float64) float64 { return full }
 
 var plans = map[Name]plan{
 	Steady:     {load: 0.8, rate: flat},
@@ -314,7 +314,7 @@
 	return false
 }
 
-func (r *Result) cost(b *bed.Bed, name string, s stage.Stage, attempts, busy int64) {
+func (r *Result) cost(b *bed.Bed, name string, _ stage.Stage, attempts, busy int64) {
 	c := StageCost{Stage: name, Attempts: attempts, Seconds: float64(busy) / 1000}
 	for _, pipeline := range r.Answered {
 		if has(b.Set, pipeline, name) {
--- a/internal/bench/replay/report.go
+++ b/internal/bench/replay/report.go
@@ -78,7 +78,7 @@
 	r.point(at).Offered++
 }
 
-func (r *Report) answered(k *Kind, now time.Time, took, spent time.Duration) {
+func (r *Report) answered(k *Kind, now time.Time, took time.Duration) {
 	s := r.byKind[k.Route.Name]
 	s.times = append(s.times, took)
 	if took <= k.Route.Aim {
@@ -107,7 +107,7 @@
 	r.Wasted += spent.Seconds()
 }
 
-func (r *Report) refused(k *Kind, why string, after, spent time.Duration) {
+func (r *Report) refused(why string, after, spent time.Duration) {
 	r.Refused[why]++
 	r.Wasted += spent.Seconds()
 	r.refusal = append(r.refusal, after)
--- a/internal/bench/replay/request.go
+++ b/internal/bench/replay/request.go
@@ -153,7 +153,7 @@
 		w.loads[key] = atReader{w.loads[key].running - 1, w.loads[key].unread - r.tokens()}
 		if !r.over {
 			w.end(r)
-			w.report.answered(r.kind, w.clock.now, w.clock.now.Sub(r.caller.first), r.spent)
+			w.report.answered(r.kind, w.clock.now, w.clock.now.Sub(r.caller.first))
 		}
 	})
 	w.clock.after(fetched, func() { w.release(r) })
@@ -191,7 +191,7 @@
 	}
 	w.end(r)
 	c := r.caller
-	w.report.refused(r.kind, why, w.clock.now.Sub(c.first), r.spent)
+	w.report.refused(why, w.clock.now.Sub(c.first), r.spent)
 	tries, wait := 1+r.kind.tries(), back+time.Duration(0.3*w.rand.Float64()*float64(back))
 	if c.again {
 		tries, wait = 1+w.pattern.Tries, 20*ms
--- a/internal/bench/replay/stage.go
+++ b/internal/bench/replay/stage.go
@@ -26,9 +26,7 @@
 	waiting int
 	used    int64
 	held    map[string]int64
-	// spent is the time worked, by result.
-	spent map[string]time.Duration
-	made  int
+	made    int
 }
 
 // took is how long a call works; piece factors and slowness are the emulation's own and unknown to the decisions.
--- a/internal/serving/batch/lane.go
+++ b/internal/serving/batch/lane.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// avoidMin and avoidMax bound how long a target is left alone after a failure.
-	avoidMin = 150 * time.Millisecond
-	avoidMax = 2 * time.Second
+	// avoidFirst and avoidMost bound how long a target is left alone after a failure.
+	avoidFirst = 150 * time.Millisecond
+	avoidMost  = 2 * time.Second
 	// slowFrom is the ratio of measured to expected time from which a target counts as slow.
 	slowFrom = 1.5
 	// slowForget is the time in which half of a measured slowness is forgotten, so that the target is tried again.
@@ -120,7 +120,7 @@
 func (l *lane) sure(now time.Time) bool { return now.Sub(l.sharedAt) >= sharedFor }
 
 // room is the bytes that results hold at the target.
-func (l *lane) room(now time.Time, terms route.Batch) int64 {
+func (l *lane) room(now time.Time) int64 {
 	for h, x := range l.held {
 		if now.After(x.until) {
 			delete(l.held, h)
@@ -130,13 +130,13 @@
 	return l.used + l.unknown(now)
 }
 
-// before tells whether a takes the next call rather than b.
-func (a *lane) before(b *lane, now time.Time) bool {
-	if sa, sb := a.slowness(now) >= slowFrom, b.slowness(now) >= slowFrom; sa != sb {
-		return !sa
+// before tells whether the target takes the next call rather than b.
+func (l *lane) before(b *lane, now time.Time) bool {
+	if sl, sb := l.slowness(now) >= slowFrom, b.slowness(now) >= slowFrom; sl != sb {
+		return !sl
 	}
-	if a.used != b.used {
-		return a.used < b.used
+	if l.used != b.used {
+		return l.used < b.used
 	}
-	return a.target.ID < b.target.ID
+	return l.target.ID < b.target.ID
 }
--- a/internal/serving/batch/line.go
+++ b/internal/serving/batch/line.go
@@ -175,7 +175,7 @@
 		if x == nil {
 			return nil, false
 		}
-		room := terms.Room - x.room(now, terms)
+		room := terms.Room - x.room(now)
 		pieces := l.waiting.Take(now, terms.Size, room, x.target.Datacentre, l.homes(now))
 		if len(pieces) == 0 {
 			l.passed[x.target.ID] = true
@@ -212,7 +212,7 @@
 		}
 	}
 	for _, x := range l.lanes {
-		if x.busy || !x.ready(now) || l.passed[x.target.ID] || now.Before(x.avoid) || terms.Room-x.room(now, terms) <= 0 {
+		if x.busy || !x.ready(now) || l.passed[x.target.ID] || now.Before(x.avoid) || terms.Room-x.room(now) <= 0 {
 			continue
 		}
 		s := x.slowness(now)
@@ -264,7 +264,7 @@
 func (c *Call) Fail(now time.Time) (avoid time.Duration, fails int) {
 	c.end()
 	c.lane.fails++
-	avoid = min(avoidMax, avoidMin<<min(c.lane.fails-1, 8))
+	avoid = min(avoidMost, avoidFirst<<min(c.lane.fails-1, 8))
 	c.lane.avoid = now.Add(avoid)
 	return avoid, c.lane.fails
 }
--- a/internal/serving/batch/line_test.go
+++ b/internal/serving/batch/line_test.go
@@ -72,7 +72,7 @@
 		for {
 			now = now.Add(10 * time.Millisecond)
 			l.Round()
-			if x := l.lanes["t1"]; lineTerms.Room-x.room(now, lineTerms) >= 250 {
+			if x := l.lanes["t1"]; lineTerms.Room-x.room(now) >= 250 {
 				break
 			}
 		}
--- a/internal/serving/ledger/holder_test.go
+++ b/internal/serving/ledger/holder_test.go
@@ -219,7 +219,7 @@
 				key := fmt.Sprint(random.IntN(25))
 				h := get(random.IntN(len(holders)))
 				if h != nil {
-					m.request(t, ctx, h, key, fmt.Sprintf("%d-%d", c, n), random)
+					m.request(ctx, t, h, key, fmt.Sprintf("%d-%d", c, n), random)
 				}
 				time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
 			}
@@ -243,7 +243,7 @@
 }
 
 // request does what an entry does: claim, send, settle.
-func (m *model) request(t *testing.T, ctx context.Context, h *Holder, key, id string, random *rand.Rand) {
+func (m *model) request(ctx context.Context, t *testing.T, h *Holder, key, id string, random *rand.Rand) {
 	a := h.Claim(ctx, row(key, id))
 	m.mu.Lock()
 	if want, ok := m.done[key]; ok && a.Verdict == Done && string(a.Body) != want {
--- a/internal/wire/desk/desk_test.go
+++ b/internal/wire/desk/desk_test.go
@@ -276,7 +276,7 @@
 // partly held by results that nobody will free, and the target does not tell its space.
 func TestWaitsForRoomThatUnknownResultsHold(t *testing.T) {
 	f := &fakeCaller{space: func() (batch.Space, error) { return batch.Space{}, errors.New("no report") }}
-	f.run = func(n int, x roster.Target, pieces []batch.Piece) ([]batch.Result, error) {
+	f.run = func(n int, _ roster.Target, pieces []batch.Piece) ([]batch.Result, error) {
 		if n == 1 {
 			return full(pieces), nil
 		}
@@ -335,7 +335,7 @@
 		t.Fatal(err)
 	}
 	var ended, begun atomic.Bool
-	f.run = func(n int, x roster.Target, pieces []batch.Piece) ([]batch.Result, error) {
+	f.run = func(_ int, x roster.Target, pieces []batch.Piece) ([]batch.Result, error) {
 		time.Sleep(3 * fetchTime)
 		if begun.Load() {
 			t.Error("inputs were given up before the call had ended")
--- a/internal/wire/gateway/load.go
+++ b/internal/wire/gateway/load.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// avoidMin and avoidMax bound how long a target is left alone after failures.
-	avoidMin = 200 * time.Millisecond
-	avoidMax = 3 * time.Second
+	// avoidFirst and avoidMost bound how long a target is left alone after failures.
+	avoidFirst = 200 * time.Millisecond
+	avoidMost  = 3 * time.Second
 	// keepState is how long the state of an unused target is kept.
 	keepState = time.Minute
 )
@@ -96,7 +96,7 @@
 		return 0
 	}
 	x.fails++
-	avoid = min(avoidMax, avoidMin<<min(x.fails-1, 6))
+	avoid = min(avoidMost, avoidFirst<<min(x.fails-1, 6))
 	x.avoid = now.Add(avoid)
 	return avoid
 }
--- a/test.sh
+++ b/test.sh
@@ -7,13 +7,15 @@
 go build ./...
 go vet ./...
 echo "format"
-unformatted=$(gofmt -l cmd internal)
+unformatted=$(gofmt -l cmd internal platform)
 if [ -n "$unformatted" ]; then
 	echo "not formatted: $unformatted"
 	exit 1
 fi
 echo "staticcheck"
 go tool -modfile=tools/go.mod staticcheck ./...
+echo "revive"
+go tool -modfile=tools/go.mod revive -config tools/revive.toml ./...
 echo "examples"
 for dir in examples/*/objects; do
 	go run ./cmd/lacewingdrift check "$dir"
