Try a store that is away by one kind of object

Ruled out: longer pauses for all kinds (what a node knows would be older when the store is back); waiting for relays that are stale (those may be cut alone). Change: while the store does not answer for the configuration, only that is tried; the other kinds are read as soon as it answers.

--- a/internal/operator/deployment/follow.go
+++ b/internal/operator/deployment/follow.go
@@ -21,6 +21,10 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/snapshot"
 )
 
+// awayPause is how long a kind of object is not asked for while the store does not answer for the configuration; it only
+// bounds what a store costs that answers for some kinds.
+const awayPause = 5 * time.Second
+
 // lapse is how long a target stays in use whose entry went while the store was away; a live target is back in the
 // store in about two seconds.
 const lapse = 1500 * time.Millisecond
@@ -59,6 +63,8 @@
 	// lost is when the store was last found not to answer, by kind; back when it answered again.
 	lost map[string]bool
 	back map[string]time.Time
+	// answers is closed and made anew when the store answers again for the kind that tries it.
+	answers chan struct{}
 	// raw is the objects that were read, by kind and name, for nodes that start while the store is away.
 	raw map[string]object.List
 	// lastHeard is when the store last answered, by kind.
@@ -70,7 +76,7 @@
 }
 
 func newPicture(cfg Config, m *meter.Meter) *picture {
-	p := &picture{cfg: cfg, meter: m, ready: make(chan struct{}), out: map[string]bool{}, nodes: map[string]roster.Node{}, lost: map[string]bool{}, back: map[string]time.Time{}, raw: map[string]object.List{}, lastHeard: map[string]time.Time{}, tap: newTap()}
+	p := &picture{cfg: cfg, meter: m, ready: make(chan struct{}), out: map[string]bool{}, nodes: map[string]roster.Node{}, lost: map[string]bool{}, back: map[string]time.Time{}, answers: make(chan struct{}), raw: map[string]object.List{}, lastHeard: map[string]time.Time{}, tap: newTap()}
 	p.roster.Store(roster.New())
 	return p
 }
@@ -99,6 +105,7 @@
 		Apply:   func(e object.Event) { p.apply(kind, e, k.apply) },
 		Heard:   func() { p.heard(kind) },
 		Failed:  func(err error) { p.failed(kind, err) },
+		Pause:   func(ctx context.Context, d time.Duration) { p.pause(ctx, kind, d) },
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}).Run(ctx)
 }
@@ -188,10 +195,32 @@
 		p.lost[kind] = false
 		p.back[kind] = p.cfg.Now()
 		p.meter.Source(kind, "back")
+		if kind == p.cfg.Platform.Config {
+			close(p.answers)
+			p.answers = make(chan struct{})
+		}
 		p.cfg.Log.WithField("kind", kind).Info("store: answers again")
 	}
 }
 
+// pause waits before the store is asked for a kind again. While it does not answer for the configuration, that alone is
+// tried: each call has its price, and all nodes make them.
+func (p *picture) pause(ctx context.Context, kind string, d time.Duration) {
+	p.mu.Lock()
+	away, answers := p.lost[p.cfg.Platform.Config], p.answers
+	p.mu.Unlock()
+	if away && kind != p.cfg.Platform.Config {
+		d = max(d, awayPause)
+	} else {
+		answers = nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-answers:
+	case <-time.After(d):
+	}
+}
+
 // failed notes that the store does not answer.
 func (p *picture) failed(kind string, err error) {
 	if errors.Is(err, errAttached) || errors.Is(err, errDetached) {
--- a/internal/platform/informer/informer.go
+++ b/internal/platform/informer/informer.go
@@ -26,7 +26,9 @@
 	Heard func()
 	// Failed is told why a list or watch ended; it may be nil.
 	Failed func(error)
-	Rand   *rand.Rand
+	// Pause waits before the next try, for a time that grows with each failure; nil waits for just that time.
+	Pause func(ctx context.Context, d time.Duration)
+	Rand  *rand.Rand
 }
 
 // Informer follows one kind of object.
@@ -59,7 +61,7 @@
 		if i.version > before {
 			backoff = minBackoff
 		}
-		wait(ctx, jitter(backoff, i.cfg.Rand))
+		i.pause(ctx, jitter(backoff, i.cfg.Rand))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -92,7 +94,11 @@
 	return d/2 + time.Duration(r.Int64N(int64(d)))
 }
 
-func wait(ctx context.Context, d time.Duration) {
+func (i *Informer) pause(ctx context.Context, d time.Duration) {
+	if i.cfg.Pause != nil {
+		i.cfg.Pause(ctx, d)
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
