Keep what the stages of a request share in its chain

Ruled out: methods of the chain that call targets (it holds state only). Change: the shape, tails, home and ends of stages are fields of the chain. Conclusion: no behaviour changes.

--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -16,6 +16,14 @@
 
 // chain is the stages of one request while they run.
 type chain struct {
+	shape plan.Shape
+	// tails is the least time from the start of each stage's last call to the answer; home is the data centre of the
+	// target that is likely to answer.
+	tails []time.Duration
+	home  string
+	// ready is closed for each stage once it has ended.
+	ready []chan struct{}
+
 	mu      sync.Mutex
 	results [][]batch.Result
 	held    []held
@@ -27,10 +35,16 @@
 	took  []int64
 }
 
-func newChain(stages []route.Stage) *chain {
-	n := len(stages)
-	c := &chain{results: make([][]batch.Result, n), held: make([]held, n), needed: make([]int, n), desks: make([]string, n), took: make([]int64, n)}
-	for _, s := range stages {
+func newChain(shape plan.Shape, home string) *chain {
+	n := len(shape.Stages)
+	c := &chain{
+		shape: shape, tails: shape.Tails(), home: home, ready: make([]chan struct{}, n), results: make([][]batch.Result, n),
+		held: make([]held, n), needed: make([]int, n), desks: make([]string, n), took: make([]int64, n),
+	}
+	for i := range c.ready {
+		c.ready[i] = make(chan struct{})
+	}
+	for _, s := range shape.Stages {
 		for _, a := range s.After {
 			c.needed[a]++
 		}
@@ -39,11 +53,11 @@
 }
 
 // fetched gives the results that nobody needs any more once stage i has fetched its inputs.
-func (c *chain) fetched(stages []route.Stage, i int) []held {
+func (c *chain) fetched(i int) []held {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []held
-	for _, a := range stages[i].After {
+	for _, a := range c.shape.Stages[i].After {
 		c.needed[a]--
 		if c.needed[a] == 0 {
 			list = append(list, c.held[a])
@@ -72,22 +86,16 @@
 		s, _ := j.table.Service(service)
 		return s.Batch
 	}, Rest: g.first(j)}
-	tails := shape.Tails()
-	home := g.home(started, j)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := newChain(j.route.Stages)
-	ready := make([]chan struct{}, len(j.route.Stages))
-	for i := range ready {
-		ready[i] = make(chan struct{})
-	}
+	c := newChain(shape, g.home(started, j))
 	var all sync.WaitGroup
 	for i := range j.route.Stages {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			defer close(ready[i])
-			if err := g.stage(ctx, j, c, i, ready, shape, tails[i], home); err != nil {
+			defer close(c.ready[i])
+			if err := g.stage(ctx, j, c, i); err != nil {
 				c.fail(err)
 				cancel()
 			}
@@ -118,18 +126,18 @@
 }
 
 // stage waits for the stages before it and has its pieces made.
-func (g *Gateway) stage(ctx context.Context, j *job, c *chain, i int, ready []chan struct{}, shape plan.Shape, tail time.Duration, home string) error {
+func (g *Gateway) stage(ctx context.Context, j *job, c *chain, i int) error {
 	s := j.route.Stages[i]
 	group := batch.Group{
 		Service: s.Service, Request: j.ID, Stage: i,
-		Bytes: s.Bytes, Priority: j.priority(), Prompt: j.aim.Add(-tail), Last: j.first.Add(-tail),
+		Bytes: s.Bytes, Priority: j.priority(), Prompt: j.aim.Add(-c.tails[i]), Last: j.first.Add(-c.tails[i]),
 	}
 	if i < len(j.Pieces) {
 		group.Count = j.Pieces[i]
 	}
 	for _, a := range s.After {
 		select {
-		case <-ready[a]:
+		case <-c.ready[a]:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -148,10 +156,10 @@
 	if len(group.Inputs) == 0 {
 		group.Key = j.PieceKey
 	}
-	group.Home, group.Weight = shape.Home(i, c.counts(), home)
-	group.Stay = shape.Stay(i, group.Prompt)
+	group.Home, group.Weight = c.shape.Home(i, c.counts(), c.home)
+	group.Stay = c.shape.Stay(i, group.Prompt)
 	started := g.cfg.Now()
-	out, err := g.produce(ctx, group, func() { g.free(c.fetched(j.route.Stages, i)) })
+	out, err := g.produce(ctx, group, func() { g.free(c.fetched(i)) })
 	c.mu.Lock()
 	c.desks[i], c.took[i] = out.Node, g.cfg.Now().Sub(started).Milliseconds()
 	c.mu.Unlock()
