--- a/cmd/lacewingdrift/explain.go
+++ b/cmd/lacewingdrift/explain.go
@@ -62,11 +62,14 @@
 	}
 }
 
-// fieldList prints the fields of a line in the order of their names; the other requests of a call are only counted.
+// fieldList prints the fields of a line in the order of their names, the request's own id left out; the requests of a call
+// are only counted.
 func fieldList(fields map[string]any) string {
 	names := make([]string, 0, len(fields))
 	for n := range fields {
-		names = append(names, n)
+		if n != "request" {
+			names = append(names, n)
+		}
 	}
 	sort.Strings(names)
 	var b strings.Builder
