Count readers and results of stages in one place

Cause: read again as a whole: which stages need another's results was worked out four times (route.Last, plan, the gateway's chain, the replay), results by data centre and a handle's address twice each, and the replay searched for targets that it has by address. Ruled out: a chain shared by gateway and replay (one waits on calls, the other on events). Change: route.Readers, batch.Counts and batch.Address serve all; the replay finds its targets by address. 26 lines less.

--- a/internal/bench/replay/group.go
+++ b/internal/bench/replay/group.go
@@ -95,7 +95,7 @@
 		}
 	}
 	lives := l.lives
-	w.work(w.maker(l, c.Target.ID), l.service.Terms, c.Pieces, func(reply batch.Reply, ok bool) {
+	w.work(w.makers[c.Target.Address], l.service.Terms, c.Pieces, func(reply batch.Reply, ok bool) {
 		if l.lives != lives {
 			return
 		}
@@ -130,7 +130,7 @@
 		lives := l.lives
 		w.clock.after(hop, func() {
 			if l.lives == lives {
-				free := (l.service.Terms.Room - w.maker(l, t.ID).used) / unit * unit
+				free := (l.service.Terms.Room - w.makers[t.Address].used) / unit * unit
 				l.Found(w.clock.now, l.service.Terms, t, batch.Space{Least: free, Most: free + unit})
 				w.dispatch(l)
 				w.look(l)
@@ -152,15 +152,6 @@
 	})
 }
 
-func (w *world) maker(l *line, id string) *maker {
-	for _, m := range w.byService[l.service.Name] {
-		if m.ID == id {
-			return m
-		}
-	}
-	return nil
-}
-
 // fetch says that a target has the inputs of a piece; they are given up once no piece of any stage needs them.
 func (w *world) fetch(g *group, segment int) {
 	if g.fetched[segment] {
@@ -225,7 +216,7 @@
 	byAddress := map[string][]string{}
 	for _, x := range list {
 		if x.Handle != "" {
-			byAddress[addressOf(x.Handle)] = append(byAddress[addressOf(x.Handle)], x.Handle)
+			byAddress[batch.Address(x.Handle)] = append(byAddress[batch.Address(x.Handle)], x.Handle)
 		}
 	}
 	for _, address := range slices.Sorted(maps.Keys(byAddress)) {
--- a/internal/bench/replay/request.go
+++ b/internal/bench/replay/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/plan"
 )
@@ -51,12 +52,7 @@
 	r := &request{
 		id: itoa(int(c.id>>1)) + "-" + itoa(c.tries), kind: k, caller: c, node: w.rand.IntN(w.deployment.Nodes),
 		aim: c.first.Add(k.Route.Aim), end: c.first.Add(k.Route.Timeout),
-		results: make([][]batch.Result, len(k.Route.Stages)), ready: make([]bool, len(k.Route.Stages)), needed: make([]int, len(k.Route.Stages)),
-	}
-	for _, s := range k.Route.Stages {
-		for _, a := range s.After {
-			r.needed[a]++
-		}
+		results: make([][]batch.Result, len(k.Route.Stages)), ready: make([]bool, len(k.Route.Stages)), needed: route.Readers(k.Route.Stages),
 	}
 	w.requests[r.id] = r
 	w.clock.at(r.end, func() { w.fail(r, "timeout") })
@@ -99,7 +95,7 @@
 			return
 		}
 		all = false
-		home, weight := shape.Home(i, r.counts(), w.choose(r).Datacentre)
+		home, weight := shape.Home(i, batch.Counts(r.results), w.choose(r).Datacentre)
 		w.begin(r, i, inputs, tails[i], home, weight)
 		if r.over {
 			return
@@ -110,20 +106,6 @@
 	}
 }
 
-// counts gives the results of each stage by data centre.
-func (r *request) counts() []map[string]int {
-	list := make([]map[string]int, len(r.results))
-	for i, results := range r.results {
-		list[i] = map[string]int{}
-		for _, x := range results {
-			if x.Handle != "" {
-				list[i][x.Datacentre]++
-			}
-		}
-	}
-	return list
-}
-
 // begin queues the pieces of a stage.
 func (w *world) begin(r *request, i int, inputs []string, tail time.Duration, home string, weight int64) {
 	s := r.kind.Route.Stages[i]
--- a/internal/bench/replay/run.go
+++ b/internal/bench/replay/run.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
@@ -89,18 +88,17 @@
 
 func (w *world) build() {
 	for _, s := range w.deployment.Services {
-		var targets []roster.Target
 		for i := range s.Targets {
 			m := &maker{held: map[string]int64{}, Target: roster.Target{
 				ID: s.Name + itoa(i+1), Service: s.Name, Address: s.Name + itoa(i+1) + ":1", State: roster.Ready,
 				Datacentre: w.deployment.Datacentres[i%len(w.deployment.Datacentres)], Slots: i + 1,
 			}}
 			w.byService[s.Name] = append(w.byService[s.Name], m)
-			targets = append(targets, m.Target)
+			w.makers[m.Address] = m
 		}
 		for node := range w.deployment.Nodes {
 			l := &line{Line: batch.NewLine(), service: s}
-			l.Refresh(start, targets)
+			l.Refresh(start, w.targets(s.Name))
 			w.lines[lineKey{s.Name, node}] = l
 		}
 	}
@@ -113,9 +111,13 @@
 
 func itoa(n int) string { return strconv.Itoa(n) }
 
-func addressOf(handle string) string {
-	a, _, _ := strings.Cut(handle, "/")
-	return a
+// targets lists the stage targets of a service.
+func (w *world) targets(service string) []roster.Target {
+	var list []roster.Target
+	for _, m := range w.byService[service] {
+		list = append(list, m.Target)
+	}
+	return list
 }
 
 func (w *world) datacentre(node int) string {
@@ -129,11 +131,7 @@
 		l := w.lines[lineKey{s.Name, 0}]
 		l.Line = batch.NewLine()
 		l.lives++
-		var targets []roster.Target
-		for _, m := range w.byService[s.Name] {
-			targets = append(targets, m.Target)
-		}
-		l.Refresh(w.clock.now, targets)
+		l.Refresh(w.clock.now, w.targets(s.Name))
 	}
 	ids := make([]uint64, 0, len(w.groups))
 	for id, g := range w.groups {
--- a/internal/bench/replay/stage.go
+++ b/internal/bench/replay/stage.go
@@ -95,7 +95,6 @@
 	h := m.Address + "/" + itoa(m.made)
 	m.held[h] = bytes
 	m.used += bytes
-	w.makers[m.Address] = m
 	return h
 }
 
@@ -109,7 +108,7 @@
 // cross counts the bytes of results that a target in a data centre fetches from others.
 func (w *world) cross(datacentre string, handles []string) {
 	for _, h := range handles {
-		if m := w.makers[addressOf(h)]; m.Datacentre != datacentre {
+		if m := w.makers[batch.Address(h)]; m.Datacentre != datacentre {
 			w.report.Crossed += m.held[h]
 		}
 	}
@@ -118,7 +117,7 @@
 // present tells whether all results are there still.
 func (w *world) present(handles []string) bool {
 	for _, h := range handles {
-		m := w.makers[addressOf(h)]
+		m := w.makers[batch.Address(h)]
 		if _, ok := m.held[h]; !ok {
 			return false
 		}
--- a/internal/catalog/route/route.go
+++ b/internal/catalog/route/route.go
@@ -206,17 +206,22 @@
 	return r.Repeat == Safe || (r.Repeat == Stream && r.Resumable)
 }
 
-// Last lists the stages, by their place, that no other stage follows.
-func (r Route) Last() []int {
-	followed := map[int]bool{}
-	for _, s := range r.Stages {
+// Readers gives for each stage the number of stages that need its results.
+func Readers(stages []Stage) []int {
+	readers := make([]int, len(stages))
+	for _, s := range stages {
 		for _, a := range s.After {
-			followed[a] = true
+			readers[a]++
 		}
 	}
+	return readers
+}
+
+// Last lists the stages, by their place, that no other stage follows.
+func (r Route) Last() []int {
 	var last []int
-	for i := range r.Stages {
-		if !followed[i] {
+	for i, n := range Readers(r.Stages) {
+		if n == 0 {
 			last = append(last, i)
 		}
 	}
--- a/internal/serving/batch/group.go
+++ b/internal/serving/batch/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -46,6 +47,26 @@
 	Reason     Reason
 }
 
+// Counts gives the results of each stage of a request by data centre.
+func Counts(results [][]Result) []map[string]int {
+	list := make([]map[string]int, len(results))
+	for i, stage := range results {
+		list[i] = map[string]int{}
+		for _, r := range stage {
+			if r.Handle != "" {
+				list[i][r.Datacentre]++
+			}
+		}
+	}
+	return list
+}
+
+// Address is where the result with a handle lies.
+func Address(handle string) string {
+	a, _, _ := strings.Cut(handle, "/")
+	return a
+}
+
 // Reply is what a target answers to a call.
 type Reply struct {
 	// Results are in the order of the pieces.
--- a/internal/serving/plan/plan.go
+++ b/internal/serving/plan/plan.go
@@ -58,7 +58,7 @@
 			from[d] += int64(n) * s.Stages[a].Bytes
 		}
 	}
-	if last != "" && !s.read(i) {
+	if last != "" && route.Readers(s.Stages)[i] == 0 {
 		from[last] += s.Stages[i].Bytes
 	}
 	for d, w := range from {
@@ -90,11 +90,6 @@
 	return n
 }
 
-// read tells whether a stage's results are read by another stage.
-func (s Shape) read(i int) bool {
-	return slices.ContainsFunc(s.Stages, func(next route.Stage) bool { return slices.Contains(next.After, i) })
-}
-
 // own is the time of a call with the pieces of a stage.
 func (s Shape) own(i int) time.Duration {
 	if i >= len(s.Pieces) || s.Pieces[i] == 0 {
--- a/internal/wire/desk/free.go
+++ b/internal/wire/desk/free.go
@@ -2,22 +2,17 @@
 
 import (
 	"context"
-	"strings"
 	"time"
-)
 
-// address is where a result lies.
-func address(handle string) string {
-	a, _, _ := strings.Cut(handle, "/")
-	return a
-}
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
+)
 
 // Free gives results up; the calls that say so are made a little later, together.
 func (d *Desk) Free(handles []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, h := range handles {
-		d.free(address(h), h)
+		d.free(batch.Address(h), h)
 	}
 }
 
--- a/internal/wire/desk/settle.go
+++ b/internal/wire/desk/settle.go
@@ -177,7 +177,7 @@
 	delete(d.groups, g.id)
 	for _, r := range g.results {
 		if r.Handle != "" {
-			d.free(address(r.Handle), r.Handle)
+			d.free(batch.Address(r.Handle), r.Handle)
 		}
 	}
 }
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -39,16 +39,11 @@
 	n := len(shape.Stages)
 	c := &chain{
 		shape: shape, tails: shape.Tails(), home: home, ready: make([]chan struct{}, n), results: make([][]batch.Result, n),
-		held: make([]held, n), needed: make([]int, n), desks: make([]string, n), took: make([]int64, n),
+		held: make([]held, n), needed: route.Readers(shape.Stages), desks: make([]string, n), took: make([]int64, n),
 	}
 	for i := range c.ready {
 		c.ready[i] = make(chan struct{})
 	}
-	for _, s := range shape.Stages {
-		for _, a := range s.After {
-			c.needed[a]++
-		}
-	}
 	return c
 }
 
@@ -202,14 +197,7 @@
 func (c *chain) counts() []map[string]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := make([]map[string]int, len(c.results))
-	for i, results := range c.results {
-		list[i] = map[string]int{}
-		for _, x := range results {
-			list[i][x.Datacentre]++
-		}
-	}
-	return list
+	return batch.Counts(c.results)
 }
 
 // unprepared answers a request whose stages did not end well; the request itself has not been sent.
