--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -190,12 +190,6 @@
 	return t, ok
 }
 
-// MayUse tells whether a target may be sent work still.
-func (r *Roster) MayUse(id string) bool {
-	t, ok := r.targets[id]
-	return ok && t.State == Ready && !r.out[t.Datacentre]
-}
-
 // Targets is the number of known targets.
 func (r *Roster) Targets() int { return len(r.targets) }
 
--- a/internal/operator/deployment/objects.go
+++ b/internal/operator/deployment/objects.go
@@ -94,6 +94,7 @@
 	r := p.roster.Load()
 	seen := map[string]roster.Target{}
 	var changes []roster.Change
+	lapsed := false
 	for _, e := range p.joining {
 		id := e.Object.Name
 		before, ok := seen[id]
@@ -105,13 +106,18 @@
 			continue
 		}
 		changes = append(changes, c)
-		if put, ok := c.(roster.Put); ok {
-			seen[id] = put.Target
+		switch c := c.(type) {
+		case roster.Put:
+			seen[id] = c.Target
+		case roster.Lapsed:
+			lapsed = true
 		}
 	}
 	p.joining = nil
 	p.set(func(r *roster.Roster) *roster.Roster { return r.With(changes...) })
-	p.expire(now, hold)
+	if lapsed {
+		p.expire(now, hold)
+	}
 }
 
 // targetChange tells what an event changes, nil for nothing; before is what is known of the target.
--- a/internal/wire/gateway/answer.go
+++ b/internal/wire/gateway/answer.go
@@ -21,9 +21,6 @@
 	maxEvent = 1 << 20
 )
 
-// hop are the headers of an answer that concern only the connection to the target.
-var hop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
 // answer is the caller's side of a request.
 type answer struct {
 	w http.ResponseWriter
@@ -81,7 +78,7 @@
 func head(w http.ResponseWriter, from http.Header) {
 	h := w.Header()
 	maps.Copy(h, from)
-	for _, name := range hop {
+	for _, name := range link.HopByHop {
 		h.Del(name)
 	}
 	for _, name := range []string{"Date", "Content-Type"} {
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -47,6 +47,9 @@
 	ErrCut = merry.Sentinel("no answer after the request was sent")
 )
 
+// HopByHop are the headers that concern one connection only and are never passed on.
+var HopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
 // Request is what is sent.
 type Request struct {
 	Method string
