Fence holders of a ledger shard by one head that is never deleted

Cause: the fence was the creation of the next segment, and compaction deleted segments. A holder that was replaced and paused over 16 commits or more created its next segment under a deleted name and granted keys again. Ruled out: a read of the predecessor after each creation (one more call a commit); keeping the first segment of each holder for ever; generations in names alone. Change: every commit updates the shard's head on condition of its version; rows move to segments named by generation, which count only if the head names them. Logs of earlier builds are taken over. TestHoldersMatchModel ends with each holder settling a key without competition in place of counting on one to settle by chance, and each must know every outcome: stricter than before. TestHolderCompactsUnderLoad writes larger bodies, since 400 small rows no longer fill 32 segments; its bound is as it was. TestWritesOfOneHolderAreDistinct checks heads in place of segments, as strict. Conclusion: at most once no longer depends on how long a holder was away.

--- a/internal/serving/ledger/bench_test.go
+++ b/internal/serving/ledger/bench_test.go
@@ -11,7 +11,7 @@
 )
 
 // BenchmarkClaim claims and settles keys of one shard concurrently; writes/request is the number of platform writes for
-// each request.
+// each request, calls/request that of all calls, deletions among them.
 func BenchmarkClaim(b *testing.B) {
 	for _, callers := range []int{1, 16, 128} {
 		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
@@ -37,6 +37,8 @@
 				})
 			}
 			wg.Wait()
+			n := s.Counts()
+			b.ReportMetric(float64(n.Reads+n.Writes+n.Lists)/float64(b.N), "calls/request")
 			b.ReportMetric(float64(h.WriteCount())/float64(b.N), "writes/request")
 			b.ReportMetric(float64(h.WriteCount())/time.Since(start).Seconds(), "writes/s")
 		})
--- a/internal/serving/ledger/commit.go
+++ b/internal/serving/ledger/commit.go
@@ -4,46 +4,105 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 )
 
-// newSegment returns a segment that can be told apart from every other write of any holder.
-func (h *Holder) newSegment(rows []Row) Segment {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// nextHead returns a head that can be told apart from every other write of any holder.
+func (h *Holder) nextHead(segments []logSegment, rows []Row) Head {
 	h.nonce++
-	return Segment{Writer: h.cfg.Writer, Nonce: h.nonce, Rows: rows}
+	return Head{
+		Writer:     h.cfg.Writer,
+		Nonce:      h.nonce,
+		Generation: h.head.Generation,
+		Segments:   namesOf(segments),
+		Rows:       rows,
+	}
 }
 
-// create writes a segment. After a lost response it reads the segment back to learn whether the write took effect.
-// It returns false if another holder has written the segment first.
-func (h *Holder) create(ctx context.Context, seq uint64, s Segment) (bool, error) {
-	name := SegmentName(h.cfg.Shard, seq)
-	h.mu.Lock()
-	h.writes++
-	h.mu.Unlock()
-	_, err := h.cfg.Store.Put(ctx, Kind, name, 0, s)
-	if err == nil {
-		return true, nil
-	}
+// writeSegment writes rows under a new name of this holder; the head has to name the segment before it counts.
+func (h *Holder) writeSegment(ctx context.Context, rows []Row) (logSegment, error) {
+	h.number++
+	s := logSegment{name: segmentName(h.cfg.Shard, h.head.Generation, h.number), keys: keysOf(rows)}
+	return s, h.putSegment(ctx, &s, rows)
+}
+
+// putSegment writes a segment and sets its version. A segment that exists was written by an earlier try.
+func (h *Holder) putSegment(ctx context.Context, s *logSegment, rows []Row) error {
+	h.countWrite()
+	o, err := h.cfg.Store.Put(ctx, Kind, s.name, 0, Segment{Rows: rows})
 	var conflict *object.ConflictError
 	if errors.As(err, &conflict) {
-		return isOwnWrite(conflict.Current.Value, s), nil
+		o, err = conflict.Current, nil
+	}
+	s.version = o.Version
+	return err
+}
+
+// putHead replaces the head. After a lost response it reads the head back to learn whether the write took effect.
+// It returns false if another holder has replaced the head.
+func (h *Holder) putHead(ctx context.Context, next Head) (bool, error) {
+	h.countWrite()
+	name := HeadName(h.cfg.Shard)
+	o, err := h.cfg.Store.Put(ctx, Kind, name, h.headVersion, next)
+	var conflict *object.ConflictError
+	switch {
+	case err == nil:
+	case errors.As(err, &conflict):
+		o = conflict.Current
+	case h.headVersion != 0 && errors.Is(err, object.ErrNotFound):
+		return false, nil
+	default:
+		current, readErr := h.cfg.Store.Get(ctx, Kind, name)
+		if readErr != nil || current.Version == h.headVersion {
+			// The write may still take effect, so only the same head may follow it.
+			return false, err
+		}
+		o = current
 	}
-	o, readErr := h.cfg.Store.Get(ctx, Kind, name)
-	if readErr != nil {
-		return false, err
+	if !isSameWrite(o.Value, next) {
+		return false, nil
 	}
-	return isOwnWrite(o.Value, s), nil
+	h.head, h.headVersion = next, o.Version
+	return true, nil
 }
 
-func isOwnWrite(value []byte, s Segment) bool {
-	var stored Segment
+func isSameWrite(value []byte, want Head) bool {
+	var stored Head
 	if json.Unmarshal(value, &stored) != nil {
 		return false
 	}
-	return stored.Writer == s.Writer && stored.Nonce == s.Nonce
+	return stored.Writer == want.Writer && stored.Nonce == want.Nonce
+}
+
+// writeHead replaces the head; it retries until the outcome is known, or maxTries is reached (0 means until ctx ends).
+// It gives up the shard and returns false if the head is not known to be written.
+func (h *Holder) writeHead(ctx context.Context, next Head, maxTries int) bool {
+	written := false
+	done := h.retry(ctx, maxTries, func() error {
+		var err error
+		written, err = h.putHead(ctx, next)
+		return err
+	})
+	if !done || !written {
+		h.markLost()
+		return false
+	}
+	h.setUnavailable(false)
+	return true
+}
+
+// retry runs write until it succeeds, or maxTries is reached (0 means until ctx ends), and reports whether it succeeded.
+func (h *Holder) retry(ctx context.Context, maxTries int, write func() error) bool {
+	for n := 1; write() != nil; n++ {
+		h.setUnavailable(true)
+		if n == maxTries || (maxTries == 0 && ctx.Err() != nil) {
+			return false
+		}
+		sleep(ctx, writeBackoff)
+	}
+	return true
 }
 
 // Run commits pending operations until ctx ends or the shard is lost; at the end of ctx it tries once to commit the rest.
@@ -64,36 +123,52 @@
 			return
 		}
 		h.compact(ctx)
+		h.removeUnused(ctx)
 		sleep(ctx, h.cfg.CommitInterval)
 	}
 }
 
-// flush writes the pending rows; it retries until the write succeeds, the shard is lost or maxTries is reached (0 means
-// until ctx ends), and gives up the shard if the rows are not written.
+// flush commits the pending rows; it retries until the commit succeeds, the shard is lost or maxTries is reached (0 means
+// until ctx ends), and gives up the shard if the rows are not committed.
 func (h *Holder) flush(ctx context.Context, maxTries int) {
 	batch := h.takeBatch()
 	if len(batch) == 0 {
 		return
 	}
-	seq := h.seq + 1
 	rows := make([]Row, 0, len(batch))
 	for _, op := range batch {
 		rows = append(rows, op.row)
 	}
-	s := h.newSegment(rows)
-	for n := 1; ; n++ {
-		created, err := h.create(ctx, seq, s)
-		if err == nil {
-			h.finishBatch(created, seq, batch)
-			return
-		}
-		h.setUnavailable(true)
-		if n == maxTries || (maxTries == 0 && ctx.Err() != nil) {
+	segments := h.segments
+	headRows := append(slices.Clip(h.head.Rows), rows...)
+	if len(h.head.Rows) > 0 && rowsSize(headRows) > maxHeadBytes {
+		s, ok := h.spill(ctx, maxTries)
+		if !ok {
 			h.markLost()
 			return
 		}
-		sleep(ctx, writeBackoff)
+		segments, headRows = append(slices.Clip(segments), s), rows
 	}
+	if !h.writeHead(ctx, h.nextHead(segments, headRows), maxTries) {
+		return
+	}
+	h.finishBatch(segments, batch)
+}
+
+// spill writes the rows of the head to a segment; it retries like flush.
+func (h *Holder) spill(ctx context.Context, maxTries int) (logSegment, bool) {
+	rows := h.head.Rows
+	s, err := h.writeSegment(ctx, rows)
+	if err == nil {
+		return s, true
+	}
+	h.setUnavailable(true)
+	if maxTries == 1 {
+		return s, false
+	}
+	sleep(ctx, writeBackoff)
+	ok := h.retry(ctx, maxTries, func() error { return h.putSegment(ctx, &s, rows) })
+	return s, ok
 }
 
 // takeBatch removes pending operations and returns them as a batch, up to the size of a segment.
@@ -102,7 +177,7 @@
 	defer h.mu.Unlock()
 	size, n := 0, 0
 	for n < len(h.pending) && size < MaxSegmentBytes {
-		size += 200 + len(h.pending[n].row.Body)*4/3
+		size += h.pending[n].row.size()
 		n++
 	}
 	batch := h.pending[:n:n]
@@ -113,21 +188,12 @@
 	return batch
 }
 
-func (h *Holder) finishBatch(created bool, seq uint64, batch []*operation) {
+func (h *Holder) finishBatch(segments []logSegment, batch []*operation) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.unavailable = false
-	if !created {
-		h.markLostLocked()
-		return
-	}
-	h.seq = seq
-	rows := make([]Row, 0, len(batch))
-	for _, op := range batch {
-		rows = append(rows, op.row)
-	}
-	h.apply(seq, rows)
+	h.segments = segments
 	for _, op := range batch {
+		h.shard.Apply(op.row)
 		h.finishOperation(op)
 	}
 	h.notify()
--- a/internal/serving/ledger/compact.go
+++ b/internal/serving/ledger/compact.go
@@ -3,59 +3,49 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 )
 
-// compact rewrites those rows of the oldest segments that must be retained, then deletes the segments.
+// compact rewrites those rows of the oldest segments that must be retained, and drops these segments from the log.
 func (h *Holder) compact(ctx context.Context) {
 	h.mu.Lock()
-	if len(h.segmentKeys) <= compactAbove || h.unavailable || h.lost {
+	if len(h.segments) <= h.compactAbove || h.unavailable || h.lost {
 		h.mu.Unlock()
 		return
 	}
-	from, to := h.oldest, h.oldest+compactBatch
-	rows := h.retainedRows(from, to)
-	seq := h.seq + 1
+	old := h.segments[:compactBatch]
+	rows := h.retainedRows(old)
+	kept := slices.Clone(h.segments[compactBatch:])
 	h.mu.Unlock()
 	for _, part := range splitRows(rows) {
-		created, err := h.create(ctx, seq, h.newSegment(part))
+		s, err := h.writeSegment(ctx, part)
 		if err != nil {
-			// The write may have taken effect; the next holder of the shard reads what was stored.
-			h.setUnavailable(true)
-			h.markLost()
+			// The log is whole without the new segments; the next compaction starts over.
+			h.markUnused(s)
 			return
 		}
-		if !created {
-			h.markLost()
-			return
-		}
-		h.mu.Lock()
-		h.apply(seq, nil)
-		h.segmentKeys[seq] = keysOf(part)
-		h.seq = seq
-		h.mu.Unlock()
-		seq++
+		kept = append(kept, s)
 	}
-	h.removeSegments(ctx, from, to)
-}
-
-func keysOf(rows []Row) []string {
-	keys := make([]string, 0, len(rows))
-	for _, r := range rows {
-		keys = append(keys, r.Key)
+	next := h.nextHead(kept, h.head.Rows)
+	if !h.writeHead(ctx, next, 0) {
+		return
 	}
-	return keys
+	h.mu.Lock()
+	h.segments = kept
+	h.compactAbove = max(minSegments, len(kept)+compactBatch)
+	h.mu.Unlock()
+	h.markUnused(old...)
 }
 
-// retainedRows drops expired rows from the shard, and returns the rows that must be retained of the keys in the segments
-// numbered [from, to).
-func (h *Holder) retainedRows(from, to uint64) []Row {
+// retainedRows drops expired rows from the shard, and returns the rows that must be retained of the keys in segments.
+func (h *Holder) retainedRows(segments []logSegment) []Row {
 	now := h.cfg.Now()
 	seen := map[string]bool{}
 	var rows []Row
-	for seq := from; seq < to; seq++ {
-		for _, key := range h.segmentKeys[seq] {
+	for _, s := range segments {
+		for _, key := range s.keys {
 			if seen[key] {
 				continue
 			}
@@ -79,24 +69,36 @@
 		}
 		last := len(parts) - 1
 		parts[last] = append(parts[last], r)
-		size += 200 + len(r.Body)*4/3
+		size += r.size()
 	}
 	return parts
 }
 
-func (h *Holder) removeSegments(ctx context.Context, from, to uint64) {
-	for seq := from; seq < to; seq++ {
-		name := SegmentName(h.cfg.Shard, seq)
-		o, err := h.cfg.Store.Get(ctx, Kind, name)
-		if err == nil {
-			err = h.cfg.Store.Delete(ctx, Kind, name, o.Version)
-		}
+// markUnused queues segments that the head does not name for deletion.
+func (h *Holder) markUnused(segments ...logSegment) {
+	h.unused = append(h.unused, segments...)
+}
+
+// removeUnused deletes unused segments; what the platform does not delete now is tried again after the next commit.
+func (h *Holder) removeUnused(ctx context.Context) {
+	for len(h.unused) > 0 {
+		s := h.unused[0]
+		err := h.removeSegment(ctx, s)
 		if err != nil && !errors.Is(err, object.ErrNotFound) {
 			return
 		}
-		h.mu.Lock()
-		delete(h.segmentKeys, seq)
-		h.oldest = seq + 1
-		h.mu.Unlock()
+		h.unused = h.unused[1:]
+	}
+}
+
+func (h *Holder) removeSegment(ctx context.Context, s logSegment) error {
+	if s.version == 0 {
+		// The response to its write was lost.
+		o, err := h.cfg.Store.Get(ctx, Kind, s.name)
+		if err != nil {
+			return err
+		}
+		s.version = o.Version
 	}
+	return h.cfg.Store.Delete(ctx, Kind, s.name, s.version)
 }
--- a/internal/serving/ledger/holder.go
+++ b/internal/serving/ledger/holder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -15,7 +14,8 @@
 
 const (
 	writeBackoff = 100 * time.Millisecond
-	compactAbove = 32
+	// minSegments is the number of segments that a log may have before it is compacted, compactBatch at a time.
+	minSegments  = 32
 	compactBatch = 16
 )
 
@@ -36,12 +36,10 @@
 type Holder struct {
 	cfg HolderConfig
 
-	mu          sync.Mutex
-	shard       *Shard
-	seq         uint64
-	oldest      uint64
-	segmentKeys map[uint64][]string
-	pending     []*operation
+	mu       sync.Mutex
+	shard    *Shard
+	segments []logSegment
+	pending  []*operation
 	// pendingClaims holds the claims that are not durable yet, by key.
 	pendingClaims map[string]*operation
 	changed       chan struct{}
@@ -49,7 +47,17 @@
 	unavailable   bool
 	lost          bool
 	writes        int64
-	nonce         uint64
+
+	// The fields below belong to Open and then to Run.
+	head        Head
+	headVersion uint64
+	nonce       uint64
+	// number is that of the last segment that this holder has named.
+	number uint64
+	// unused are segments that the head does not name and that are to be deleted.
+	unused []logSegment
+	// compactAbove is the number of segments above which the log is compacted.
+	compactAbove int
 }
 
 type operation struct {
@@ -62,66 +70,61 @@
 // openCount distinguishes the holders that one process opens under the same name, even at the same moment.
 var openCount atomic.Uint64
 
-// Open takes over the shard: it fences the former holder, reads the log and begins to serve.
+// Open takes over the shard: it reads the log, fences the former holder and begins to serve.
 func Open(ctx context.Context, cfg HolderConfig) (*Holder, error) {
 	cfg.Writer = fmt.Sprintf("%s#%d", cfg.Writer, openCount.Add(1))
 	h := &Holder{
 		cfg:           cfg,
-		segmentKeys:   map[uint64][]string{},
 		pendingClaims: map[string]*operation{},
 		changed:       make(chan struct{}),
 		wake:          make(chan struct{}, 1),
+		compactAbove:  minSegments,
 	}
 	for {
-		list, err := cfg.Store.List(ctx, Kind, namePrefix(cfg.Shard))
+		l, err := h.read(ctx)
 		if err != nil {
 			return nil, merry.Prependf(err, "open ledger shard %d", cfg.Shard)
 		}
-		if err := h.load(list); err != nil {
-			return nil, merry.Prependf(err, "open ledger shard %d", cfg.Shard)
-		}
-		created, err := h.create(ctx, h.seq+1, h.newSegment(nil))
+		h.load(l)
+		taken, err := h.putHead(ctx, h.nextHead(h.segments, h.head.Rows))
 		if err != nil {
 			return nil, merry.Prependf(err, "open ledger shard %d", cfg.Shard)
 		}
-		if created {
-			h.seq++
-			h.segmentKeys[h.seq] = nil
+		if taken {
 			return h, nil
 		}
 	}
 }
 
-func (h *Holder) load(list object.List) error {
-	h.shard = NewShard(h.cfg.Retention)
-	h.segmentKeys = map[uint64][]string{}
-	h.seq, h.oldest = 0, 1
-	for i, item := range list.Items {
-		seq, err := parseSequence(h.cfg.Shard, item.Name)
+// read lists the log. A list that lacks a segment was read in parts while the former holder compacted the log; it is read
+// again unless the head shows that nothing has changed.
+func (h *Holder) read(ctx context.Context) (storedLog, error) {
+	var last uint64
+	for {
+		list, err := h.cfg.Store.List(ctx, Kind, namePrefix(h.cfg.Shard))
 		if err != nil {
-			return err
+			return storedLog{}, err
 		}
-		var s Segment
-		if err := json.Unmarshal(item.Value, &s); err != nil {
-			return merry.Prependf(err, "segment %s", item.Name)
+		l, err := parseLog(h.cfg.Shard, list)
+		if err != nil || l.missing == "" {
+			return l, err
 		}
-		if i == 0 {
-			h.oldest = seq
+		if l.headVersion == last {
+			return storedLog{}, merry.Errorf("segment %s is missing", l.missing)
 		}
-		h.seq = seq
-		h.apply(seq, s.Rows)
+		last = l.headVersion
 	}
-	h.shard.DropExpired(h.cfg.Now())
-	return nil
 }
 
-func (h *Holder) apply(seq uint64, rows []Row) {
-	keys := make([]string, 0, len(rows))
-	for _, r := range rows {
+func (h *Holder) load(l storedLog) {
+	h.head, h.headVersion = l.head, l.headVersion
+	h.head.Generation++
+	h.segments, h.unused = l.segments, l.unused
+	h.shard = NewShard(h.cfg.Retention)
+	for _, r := range l.rows {
 		h.shard.Apply(r)
-		keys = append(keys, r.Key)
 	}
-	h.segmentKeys[seq] = keys
+	h.shard.DropExpired(h.cfg.Now())
 }
 
 // Lost reports whether another node has taken over the shard or this holder has given it up.
@@ -131,13 +134,19 @@
 	return h.lost
 }
 
-// WriteCount returns the number of segments sent to the platform.
+// WriteCount returns the number of heads and segments sent to the platform.
 func (h *Holder) WriteCount() int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.writes
 }
 
+func (h *Holder) countWrite() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.writes++
+}
+
 // Claim claims the key of row for its request; it returns Granted only once the claim is durable.
 func (h *Holder) Claim(ctx context.Context, row Row) Result {
 	h.mu.Lock()
--- a/internal/serving/ledger/holder_test.go
+++ b/internal/serving/ledger/holder_test.go
@@ -1,9 +1,11 @@
 package ledger
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -85,18 +87,20 @@
 	})
 }
 
-// TestWritesOfOneHolderAreDistinct writes two segments under one sequence number: a retry of the first counts as the
-// holder's own write, the second does not, although holder and number are the same.
+// TestWritesOfOneHolderAreDistinct writes two heads on condition of one version: a retry of the first counts as the
+// holder's own write, the second does not, although holder and version are the same.
 func TestWritesOfOneHolderAreDistinct(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := openHolder(t, store.New(), "a")
-		first, second := h.newSegment([]Row{newRow("k", "r1")}), h.newSegment([]Row{newRow("k", "r2")})
+		first, second := h.nextHead(nil, []Row{newRow("k", "r1")}), h.nextHead(nil, []Row{newRow("k", "r2")})
+		version := h.headVersion
 		for _, tt := range []struct {
 			name string
-			s    Segment
+			head Head
 			want bool
 		}{{"first", first, true}, {"its retry", first, true}, {"second", second, false}} {
-			if got, err := h.create(t.Context(), 9, tt.s); err != nil || got != tt.want {
+			h.headVersion = version
+			if got, err := h.putHead(t.Context(), tt.head); err != nil || got != tt.want {
 				t.Errorf("%s: got %t %v, want %t", tt.name, got, err, tt.want)
 			}
 		}
@@ -148,30 +152,136 @@
 		s := store.New()
 		h := openHolder(t, s, "a")
 		const keys = 400
+		// The bodies fill more segments than a log may have.
+		body := func(key string) string { return fmt.Sprintf("%2048s", key) }
 		for i := range keys {
 			key := fmt.Sprint(i)
 			h.Claim(t.Context(), newRow(key, "r"+key))
-			h.Settle(t.Context(), key, "r"+key, Settled, []byte(key), time.Second)
+			h.Settle(t.Context(), key, "r"+key, Settled, []byte(body(key)), time.Second)
 		}
 		time.Sleep(time.Second)
 		l, err := s.List(t.Context(), Kind, "")
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got, most := len(l.Items), compactAbove+compactBatch+2; got > most {
-			t.Errorf("got %d segments, want at most %d", got, most)
+		if got, most := len(l.Items), minSegments+compactBatch+2; got > most {
+			t.Errorf("got %d objects, want at most %d", got, most)
+		}
+		if h.number < minSegments {
+			t.Errorf("got %d segments written, want more than %d", h.number, minSegments)
 		}
 		next := openHolder(t, s, "b")
 		for i := range keys {
 			key := fmt.Sprint(i)
 			got := next.Claim(t.Context(), newRow(key, "again"))
-			if got.Status != Done || string(got.Body) != key {
-				t.Fatalf("key %s: got %s %q, want %s %q", key, got.Status, got.Body, Done, key)
+			if got.Status != Done || string(got.Body) != body(key) {
+				t.Fatalf("key %s: got %s %q, want %s %q", key, got.Status, got.Body, Done, body(key))
 			}
 		}
 	})
 }
 
+// TestPausedHolderIsFencedAfterCompaction pauses a holder while its successor logs and compacts many claims, then resumes
+// it: whatever the successor has deleted meanwhile, the former holder must grant no claim.
+func TestPausedHolderIsFencedAfterCompaction(t *testing.T) {
+	for _, commits := range []int{1, 15, 16, 17, 33, 40, 64, 100} {
+		t.Run(fmt.Sprint(commits), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := store.New()
+				paused, err := Open(t.Context(), newConfig(s, "paused"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				successor := openHolder(t, s, "successor")
+				for i := range commits {
+					// A large body makes every commit outgrow the last one, so that old rows are moved and compacted.
+					key := fmt.Sprint("k", i)
+					if got := successor.Claim(t.Context(), newRow(key, "r1")); got.Status != Granted {
+						t.Fatalf("got %s for %s at the successor, want %s", got.Status, key, Granted)
+					}
+					body := bytes.Repeat([]byte("x"), 24<<10)
+					if got := successor.Settle(t.Context(), key, "r1", Settled, body, time.Second); got.Status != Done {
+						t.Fatalf("got %s settling %s, want %s", got.Status, key, Done)
+					}
+				}
+				go paused.Run(t.Context())
+				for i := range commits {
+					key := fmt.Sprint("k", i)
+					if got := paused.Claim(t.Context(), newRow(key, "r2")); got.Status != NotHolder {
+						t.Fatalf("got %s for %s at the former holder, want %s", got.Status, key, NotHolder)
+					}
+				}
+				third := openHolder(t, s, "third")
+				for i := range commits {
+					key := fmt.Sprint("k", i)
+					if got := third.Claim(t.Context(), newRow(key, "r3")); got.Status != Done {
+						t.Errorf("got %s for %s after the next take-over, want %s", got.Status, key, Done)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestOpenReadsLogWithoutHead opens a log of segments that was written before logs had heads.
+func TestOpenReadsLogWithoutHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		settled := newRow("b", "r2")
+		settled.State, settled.Body = Settled, []byte("answer")
+		claimed := newRow("b", "r2")
+		claimed.State = Claimed
+		for i, row := range []Row{claimed, settled} {
+			segment := Segment{Rows: []Row{row}}
+			if _, err := s.Put(t.Context(), Kind, fmt.Sprintf("%s%012d", namePrefix(0), i+9), 0, segment); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, writer := range []string{"first", "second"} {
+			h := openHolder(t, s, writer)
+			if got := h.Claim(t.Context(), newRow("b", "r3")); got.Status != Done || string(got.Body) != "answer" {
+				t.Errorf("%s: got %s %q, want %s %q", writer, got.Status, got.Body, Done, "answer")
+			}
+		}
+	})
+}
+
+func TestOpenRejectsLogWithMissingSegment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		if _, err := s.Put(t.Context(), Kind, HeadName(0), 0, Head{Segments: []string{"0000-gone"}}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Open(t.Context(), newConfig(s, "a")); err == nil || !strings.Contains(err.Error(), "0000-gone") {
+			t.Errorf("got error %v, want one that names the segment", err)
+		}
+	})
+}
+
+// TestUnusedSegmentIsRemoved leaves a segment that its writer did not commit: it is no part of the log, and the next
+// holder deletes it.
+func TestUnusedSegmentIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		old := openHolder(t, s, "old")
+		if _, err := old.writeSegment(t.Context(), []Row{newRow("k", "r1")}); err != nil {
+			t.Fatal(err)
+		}
+		next := openHolder(t, s, "next")
+		if got := next.Claim(t.Context(), newRow("k", "r2")); got.Status != Granted {
+			t.Errorf("got %s for a key of the segment, want %s", got.Status, Granted)
+		}
+		time.Sleep(time.Second)
+		list, err := s.List(t.Context(), Kind, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := len(list.Items); got != 1 || list.Items[0].Name != HeadName(0) {
+			t.Errorf("got %d objects %v, want the head alone", got, list.Items)
+		}
+	})
+}
+
 // model is a reference implementation of the ledger: one map under one lock.
 type model struct {
 	mu       sync.Mutex
@@ -237,8 +347,36 @@
 			t.Errorf("key %s: got %d sends, want at most 1", key, n)
 		}
 	}
-	if len(m.outcomes) == 0 {
-		t.Error("got no key settled, want some: the faults leave time to settle")
+	m.checkSettled(ctx, t, holder)
+}
+
+// checkSettled lets each holder in turn take the shard over without competition: it must settle a key of its own, and
+// know the outcome of every key that was settled before.
+func (m *model) checkSettled(ctx context.Context, t *testing.T, holder func(int) *Holder) {
+	t.Helper()
+	for i := range 3 {
+		h := holder(i)
+		if h == nil {
+			t.Fatalf("holder %d: got no shard, want it after the faults", i)
+		}
+		// A holder that was replaced while it was idle learns so from its next claim.
+		probe := fmt.Sprint("probe", i)
+		if got := h.Claim(ctx, newRow(probe, probe)); got.Status == NotHolder {
+			h = holder(i)
+		}
+		key := fmt.Sprint("settled", i)
+		if got := h.Claim(ctx, newRow(key, key)); got.Status != Granted {
+			t.Errorf("holder %d: got %s, want %s", i, got.Status, Granted)
+		}
+		if got := h.Settle(ctx, key, key, Settled, []byte(key), 5*time.Second); got.Status != Done {
+			t.Errorf("holder %d: got %s, want %s", i, got.Status, Done)
+		}
+		m.outcomes[key] = key
+		for key, want := range m.outcomes {
+			if got := h.Claim(ctx, newRow(key, "late")); got.Status != Done || string(got.Body) != want {
+				t.Errorf("holder %d, key %s: got %s %q, want %s %q", i, key, got.Status, got.Body, Done, want)
+			}
+		}
 	}
 }
 
--- a/internal/serving/ledger/segment.go
+++ b/internal/serving/ledger/segment.go
@@ -1,33 +1,139 @@
 package ledger
 
 import (
+	"encoding/json"
 	"fmt"
-	"strconv"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 )
 
-// Kind is the platform's object kind of log segments.
+// Kind is the platform's object kind of the heads and segments of logs.
 const Kind = "ledger"
 
-// MaxSegmentBytes limits a segment to well below the maximum size of a platform value.
-const MaxSegmentBytes = 256 << 10
+const (
+	// MaxSegmentBytes limits a segment to well below the maximum size of a platform value.
+	MaxSegmentBytes = 256 << 10
+	// maxHeadBytes limits what every commit writes again; older rows move to a segment.
+	maxHeadBytes = 32 << 10
+	// rowOverheadBytes is the encoded size of a row without its body.
+	rowOverheadBytes = 200
+)
 
-// Segment is one object of a shard's log. It is created only if absent, which fences former holders.
-type Segment struct {
+// Head is the object that each commit of a shard's log updates on condition of its version. It is never deleted, so the
+// update of a holder that was replaced fails however much of the log has been compacted since.
+type Head struct {
 	// Writer identifies the holder, and Nonce the write among all writes of that holder.
 	Writer string `json:"writer"`
 	Nonce  uint64 `json:"nonce"`
-	Rows   []Row  `json:"rows,omitempty"`
+	// Generation counts the holders that the shard has had.
+	Generation uint64 `json:"generation"`
+	// Segments names the objects with the older rows, oldest first.
+	Segments []string `json:"segments,omitempty"`
+	// Rows are the newest rows, oldest first.
+	Rows []Row `json:"rows,omitempty"`
+}
+
+// Segment is an object with older rows of a shard's log; it is written once, and counts only if the head names it.
+type Segment struct {
+	Rows []Row `json:"rows,omitempty"`
+}
+
+// logSegment is a segment as its holder knows it.
+type logSegment struct {
+	name    string
+	version uint64
+	keys    []string
 }
 
-// SegmentName returns the object name of a segment.
-func SegmentName(shard int, seq uint64) string { return fmt.Sprintf("%s%012d", namePrefix(shard), seq) }
+// HeadName returns the object name of a shard's head.
+func HeadName(shard int) string { return namePrefix(shard) + "head" }
+
+// segmentName returns a name that only the holder of the generation writes, so no two holders write one object.
+func segmentName(shard int, generation, number uint64) string {
+	return fmt.Sprintf("%s%08d-%08d", namePrefix(shard), generation, number)
+}
 
 func namePrefix(shard int) string { return fmt.Sprintf("%04d-", shard) }
 
-func parseSequence(shard int, name string) (uint64, error) {
-	n, err := strconv.ParseUint(strings.TrimPrefix(name, namePrefix(shard)), 10, 64)
-	return n, merry.Prependf(err, "segment name %q", name)
+func rowsSize(rows []Row) int {
+	size := 0
+	for _, r := range rows {
+		size += r.size()
+	}
+	return size
+}
+
+func (r Row) size() int { return rowOverheadBytes + len(r.Body)*4/3 }
+
+func keysOf(rows []Row) []string {
+	keys := make([]string, 0, len(rows))
+	for _, r := range rows {
+		keys = append(keys, r.Key)
+	}
+	return keys
+}
+
+func namesOf(segments []logSegment) []string {
+	names := make([]string, 0, len(segments))
+	for _, s := range segments {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+// storedLog is a shard's log as one list of its objects shows it.
+type storedLog struct {
+	head        Head
+	headVersion uint64
+	segments    []logSegment
+	// rows are the rows of all segments and of the head, oldest first.
+	rows []Row
+	// unused are objects that the head does not name: a segment that was never committed, or not yet deleted.
+	unused []logSegment
+	// missing names a segment that the head refers to and the list lacks.
+	missing string
+}
+
+func parseLog(shard int, list object.List) (storedLog, error) {
+	var l storedLog
+	stored := map[string]object.Object{}
+	for _, item := range list.Items {
+		if item.Name != HeadName(shard) {
+			stored[item.Name] = item
+			continue
+		}
+		l.headVersion = item.Version
+		if err := json.Unmarshal(item.Value, &l.head); err != nil {
+			return storedLog{}, merry.Prependf(err, "head %s", item.Name)
+		}
+	}
+	if l.headVersion == 0 {
+		// A log that was written before logs had heads: all its segments count.
+		l.head.Segments = slices.Sorted(maps.Keys(stored))
+	}
+	for _, name := range l.head.Segments {
+		item, ok := stored[name]
+		if !ok {
+			l.missing = name
+			return l, nil
+		}
+		delete(stored, name)
+		var s Segment
+		if err := json.Unmarshal(item.Value, &s); err != nil {
+			return storedLog{}, merry.Prependf(err, "segment %s", name)
+		}
+		l.segments = append(l.segments, logSegment{name: name, version: item.Version, keys: keysOf(s.Rows)})
+		l.rows = append(l.rows, s.Rows...)
+	}
+	l.rows = append(l.rows, l.head.Rows...)
+	for name, item := range stored {
+		l.unused = append(l.unused, logSegment{name: name, version: item.Version})
+	}
+	slices.SortFunc(l.unused, func(a, b logSegment) int { return strings.Compare(a.name, b.name) })
+	return l, nil
 }
