Leave relays that the store rejects for others, and watch less while a fleet starts

The store rejects some nodes from 2.5 to 11.5 s; a relay among them becomes stale, and its followers, in place of the second relay, read the store: 70 to 110 calls a second in place of 15. Where both relays of a data centre were rejected, 18 nodes made 34 calls each. A start of the fleet cost 16 calls a node: nodes and targets register within a second, and each of their entries answered four watches of every node. Ruled out: listing less at the start, since after a loss of all nodes it would delay the first answer. Change: after a stale relay the next one is tried, then one of another data centre for 5 s at a time. A node without a relay that the store rejects follows a relay, or in a small fleet any node, in place of keeping an old configuration. Calls of the store are counted by operation, kind and result on the metrics address.

--- a/cmd/lacewingdrift/platform.go
+++ b/cmd/lacewingdrift/platform.go
@@ -10,6 +10,7 @@
 
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/gatewaynode"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/logging"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/metrics"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/transport"
 	"github.com/lacewingdrift/lacewingdrift/platform"
@@ -43,6 +44,7 @@
 	log := logging.New(logging.Config{Level: "info", Format: "json", Out: out})
 	logging.RedirectGoZero(log)
 	connections := connection.NewPool()
+	meter := metrics.New()
 	n, err := gatewaynode.Start(gatewaynode.Config{
 		Settings:  s,
 		ReadyPath: platform.ReadyPath,
@@ -50,7 +52,8 @@
 			ConfigKind: platform.KindConfig, TargetKind: platform.KindTargets, EvacuationKind: platform.KindEvacuations, NodeKind: platform.KindNodes,
 			ConfigName: platform.ConfigName, ParseTable: platform.ParseTable, ParseTarget: platform.ParseTarget, ParseNode: platform.ParseNode, NodeEntry: platform.NodeEntry,
 		},
-		Store:       platform.NewStore(s.StoreAddress),
+		Store:       platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, OnCall: meter.CountStoreCall}),
+		Meter:       meter,
 		Headers:     platform.HeaderCodec{},
 		StageClient: platform.StageClient{Connections: connections},
 		Connections: connections,
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -25,7 +26,8 @@
 // RelaysFor returns the relays for a node, best first; there are none for a relay itself and for nodes of a small fleet.
 //
 // If every node watched the store, the number of calls would grow with the fleet. In each data centre the nodes with the
-// highest link capacity are the relays, because a large configuration goes to all other nodes there at the same time.
+// highest link capacity are the relays, because a large configuration goes to all other nodes there at the same time. The
+// store may reject all relays of a data centre, so one of each other data centre follows in the list.
 func RelaysFor(self string, nodes []registry.Node) []registry.Node {
 	if len(nodes) < minFleetSize {
 		return nil
@@ -34,29 +36,80 @@
 	if i < 0 {
 		return nil
 	}
-	var local []registry.Node
-	var names []string
+	byDatacentre := groupByDatacentre(nodes)
+	local := nodes[i].Datacentre
+	relays := relaysOf(byDatacentre[local], relaysPerDatacentre)
+	if slices.ContainsFunc(relays, func(n registry.Node) bool { return n.Name == self }) {
+		return nil
+	}
+	delete(byDatacentre, local)
+	for _, d := range rendezvous.Rank("relay/"+self, slices.Collect(maps.Keys(byDatacentre))) {
+		relays = append(relays, relaysOf(byDatacentre[d], 1)...)
+	}
+	return relays
+}
+
+// maxPeers bounds the nodes that are tried in place of the store.
+const maxPeers = 3
+
+// PeersFor returns the nodes that a node may follow while the store rejects it, those of its own data centre first.
+//
+// A store may reject some nodes and serve the others, which then have newer configurations and targets. In a fleet with
+// relays only these read the store.
+func PeersFor(self registry.Node, nodes []registry.Node) []registry.Node {
+	if len(nodes) >= minFleetSize {
+		var relays []registry.Node
+		for _, local := range groupByDatacentre(nodes) {
+			relays = append(relays, relaysOf(local, relaysPerDatacentre)...)
+		}
+		nodes = relays
+	}
+	byName := map[string]registry.Node{}
+	names := make([]string, 0, len(nodes))
 	for _, n := range nodes {
-		if n.Datacentre == nodes[i].Datacentre {
+		byName[n.Name] = n
+		names = append(names, n.Name)
+	}
+	var local, remote []registry.Node
+	for _, name := range rendezvous.Rank("peer/"+self.Name, names) {
+		switch n := byName[name]; {
+		case name == self.Name:
+		case n.Datacentre == self.Datacentre:
 			local = append(local, n)
-			names = append(names, n.Name)
+		default:
+			remote = append(remote, n)
 		}
 	}
+	peers := append(local, remote...)
+	return peers[:min(maxPeers, len(peers))]
+}
+
+func groupByDatacentre(nodes []registry.Node) map[string][]registry.Node {
+	groups := map[string][]registry.Node{}
+	for _, n := range nodes {
+		groups[n.Datacentre] = append(groups[n.Datacentre], n)
+	}
+	return groups
+}
+
+// relaysOf returns up to count relays among the nodes of one data centre, best first.
+func relaysOf(nodes []registry.Node, count int) []registry.Node {
+	names := make([]string, 0, len(nodes))
+	for _, n := range nodes {
+		names = append(names, n.Name)
+	}
 	rank := map[string]int{}
 	for k, n := range rendezvous.Rank("relay", names) {
 		rank[n] = k
 	}
-	sort.Slice(local, func(a, b int) bool {
-		if local[a].LinkMbps != local[b].LinkMbps {
-			return local[a].LinkMbps > local[b].LinkMbps
+	ranked := slices.Clone(nodes)
+	sort.Slice(ranked, func(a, b int) bool {
+		if ranked[a].LinkMbps != ranked[b].LinkMbps {
+			return ranked[a].LinkMbps > ranked[b].LinkMbps
 		}
-		return rank[local[a].Name] < rank[local[b].Name]
+		return rank[ranked[a].Name] < rank[ranked[b].Name]
 	})
-	local = local[:min(relaysPerDatacentre, len(local))]
-	if slices.ContainsFunc(local, func(n registry.Node) bool { return n.Name == self }) {
-		return nil
-	}
-	return local
+	return ranked[:min(count, len(ranked))]
 }
 
 // Report is the last report of a relay and the time of its receipt.
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -55,6 +55,7 @@
 	// ReadyPath is the path of the load balancer's readiness check.
 	ReadyPath   string
 	Store       object.Store
+	Meter       *metrics.Meter
 	Headers     gateway.HeaderCodec
 	StageClient dispatch.TargetClient
 	Connections *connection.Pool
@@ -81,8 +82,7 @@
 // Start opens the node's listeners and starts to follow the store.
 func Start(cfg Config) (*Node, error) {
 	cfg.Log = cfg.Log.WithField("node", cfg.Settings.Name)
-	m := metrics.New()
-	n := &Node{cfg: cfg, view: newFleetView(cfg, m), meter: m, registered: make(chan object.Object, 1)}
+	n := &Node{cfg: cfg, view: newFleetView(cfg, cfg.Meter), meter: cfg.Meter, registered: make(chan object.Object, 1)}
 	n.build()
 	if err := n.listen(); err != nil {
 		return nil, merry.Prepend(err, "start")
--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -22,6 +22,12 @@
 	// delay of the first search: all nodes of a deployment start within about 300 ms and are listed shortly after.
 	relayRetryInterval = 2 * time.Second
 	relayInitialDelay  = 900 * time.Millisecond
+	// substitutePeriod bounds the use of a relay in another data centre, and of any node in place of the store.
+	substitutePeriod = 5 * time.Second
+	// nodeWatchDelay is when a node that has started reads which others have; roleDelay is when it then decides whether it
+	// watches the store itself, early enough to be a fresh relay when the others look for one.
+	nodeWatchDelay = 600 * time.Millisecond
+	roleDelay      = 700 * time.Millisecond
 )
 
 // Reasons for the end of a watch or a relay that are not failures of the store.
@@ -32,61 +38,105 @@
 	errRelayLost = fmt.Errorf("the relay is lost: %w", object.ErrGone)
 	// errRelayStale ends the use of a relay that is unresponsive or has had no contact with the store for too long.
 	errRelayStale = merry.Sentinel("relay is stale")
+	// errSubstituteEnded ends the use of a substitute, so that the node's own relays, or the store, are tried again.
+	errSubstituteEnded = merry.Sentinel("the relay was a substitute")
 )
 
-// changeSource holds where changes come from: the store or a relay.
+// sourceMode is where the changes of the store's objects come from.
+type sourceMode string
+
+// The modes of a changeSource.
+const (
+	// fromStart is the mode of a node that has just started: it has lists, and is about to learn whether it has a relay.
+	fromStart sourceMode = "start"
+	fromStore sourceMode = "store"
+	fromRelay sourceMode = "relay"
+)
+
+// changeSource holds the mode of a node.
 type changeSource struct {
-	mu        sync.Mutex
-	usesRelay bool
-	// changed is closed and replaced when the source changes.
+	mu   sync.Mutex
+	mode sourceMode
+	// changed is closed and replaced when the mode changes.
 	changed chan struct{}
 }
 
-func newChangeSource() changeSource { return changeSource{changed: make(chan struct{})} }
+func newChangeSource() changeSource {
+	return changeSource{mode: fromStart, changed: make(chan struct{})}
+}
 
-func (s *changeSource) state() (usesRelay bool, changed <-chan struct{}) {
+func (s *changeSource) state() (mode sourceMode, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.usesRelay, s.changed
+	return s.mode, s.changed
 }
 
-// setUsesRelay switches to a relay or to the store; it reports whether the source changed.
-func (s *changeSource) setUsesRelay(usesRelay bool) bool {
+// set changes the mode; it returns the former one.
+func (s *changeSource) set(mode sourceMode) (former sourceMode) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.usesRelay == usesRelay {
-		return false
+	former = s.mode
+	if former != mode {
+		s.mode = mode
+		close(s.changed)
+		s.changed = make(chan struct{})
 	}
-	s.usesRelay = usesRelay
-	close(s.changed)
-	s.changed = make(chan struct{})
-	return true
+	return former
 }
 
-// pausingStore is the store with its watches paused while a relay supplies changes.
+// awaitMode waits until the mode is the given one.
+func (s *changeSource) awaitMode(ctx context.Context, mode sourceMode) error {
+	for {
+		current, changed := s.state()
+		if current == mode {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// pausingStore is the store with its watches paused while they are not needed.
 type pausingStore struct {
 	object.Store
 	source *changeSource
+	// nodeKind is the kind that a node watches before it knows its relay.
+	nodeKind string
 }
 
 // Watch watches the store, or waits until the relay is lost.
+//
+// When all nodes of a fleet start, many objects change within a second, and most nodes are about to follow a relay, which
+// passes on what they miss. Until then only the nodes' entries are watched, after nodeWatchDelay.
 func (s pausingStore) Watch(ctx context.Context, kind string, version uint64, handle func(object.Event)) error {
-	usesRelay, changed := s.source.state()
-	if usesRelay {
+	mode, changed := s.source.state()
+	if mode == fromStart {
+		var delay <-chan time.Time
+		if kind == s.nodeKind {
+			delay = time.After(nodeWatchDelay)
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
-			return errRelayLost
+			mode, _ = s.source.state()
+		case <-delay:
+		}
+	}
+	if mode == fromRelay {
+		if err := s.source.awaitMode(ctx, fromStore); err != nil {
+			return err
 		}
+		return errRelayLost
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
-		select {
-		case <-changed:
+		if s.source.awaitMode(ctx, fromRelay) == nil {
 			cancel(errRelayFollowed)
-		case <-ctx.Done():
 		}
 	}()
 	err := s.Store.Watch(ctx, kind, version, handle)
@@ -98,48 +148,85 @@
 
 // followRelays follows a relay whenever there is a fresh one, and otherwise lets the node read the store.
 func (v *fleetView) followRelays(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(relayInitialDelay + rand.N(relayInitialDelay/4)):
+	pause(ctx, roleDelay)
+	if !v.hasRelay() {
+		v.source.set(fromStore)
 	}
+	pause(ctx, relayInitialDelay-roleDelay+rand.N(relayInitialDelay/4))
 	for ctx.Err() == nil {
-		for _, r := range v.relays() {
-			err := v.followRelay(ctx, r)
-			v.cfg.Log.WithError(err).WithField("relay", r.Name).Info("relay: lost")
-			if errors.Is(err, errRelayStale) {
-				break
-			}
+		if v.followAnyRelay(ctx) {
+			continue
 		}
-		if v.source.setUsesRelay(false) {
+		if v.source.set(fromStore) == fromRelay {
 			v.cfg.Log.Info("relay: none available, reading from the store")
 		}
 		// The delay is random, so that not all nodes of a lost relay reconnect to it at once.
-		select {
-		case <-ctx.Done():
-		case <-time.After(relayRetryInterval/2 + rand.N(relayRetryInterval)):
+		pause(ctx, relayRetryInterval/2+rand.N(relayRetryInterval))
+	}
+}
+
+// followAnyRelay follows the first fresh relay, and then the next; it reports whether the first ones should be tried again
+// because the last one was a substitute for a relay.
+func (v *fleetView) followAnyRelay(ctx context.Context) (retry bool) {
+	for _, r := range v.relays() {
+		// The store may serve the next relay although it rejects this one.
+		err := v.followRelay(ctx, r)
+		v.cfg.Log.WithError(err).WithField("relay", r.Name).Info("relay: lost")
+		if errors.Is(err, errSubstituteEnded) {
+			return v.hasRelay()
 		}
 	}
+	return false
 }
 
-func (v *fleetView) relays() []registry.Node {
-	if !v.targetsListed.Load() || v.table.Load() == nil {
-		return nil
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
+}
+
+// hasRelay reports whether the node has a relay when the store answers.
+func (v *fleetView) hasRelay() bool {
+	return len(relay.RelaysFor(v.cfg.Settings.Name, v.fleetNodes())) > 0
+}
+
+func (v *fleetView) fleetNodes() []registry.Node {
 	r := v.registry.Load()
 	var nodes []registry.Node
 	for _, name := range r.NodeNames() {
 		n, _ := r.Node(name)
 		nodes = append(nodes, n)
 	}
-	return relay.RelaysFor(v.cfg.Settings.Name, nodes)
+	return nodes
+}
+
+// relays returns the nodes that this node should follow, best first. A node that has no relay follows others only while the
+// store does not answer.
+func (v *fleetView) relays() []registry.Node {
+	nodes := v.fleetNodes()
+	if relays := relay.RelaysFor(v.cfg.Settings.Name, nodes); len(relays) > 0 || !v.isStoreUnavailable() {
+		return relays
+	}
+	return relay.PeersFor(registry.Node{Name: v.cfg.Settings.Name, Datacentre: v.cfg.Settings.Datacentre}, nodes)
+}
+
+// isSubstitute reports whether a node is followed only until the node's own relays, or the store, are tried again.
+func (v *fleetView) isSubstitute(r registry.Node) bool {
+	return r.Datacentre != v.cfg.Settings.Datacentre || v.isStoreUnavailable()
 }
 
 // followRelay applies the updates of one relay until the stream ends or the relay is stale.
 func (v *fleetView) followRelay(ctx context.Context, r registry.Node) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	if v.isSubstitute(r) {
+		retry := time.AfterFunc(substitutePeriod, func() { cancel(errSubstituteEnded) })
+		defer retry.Stop()
+	}
 	var mu sync.Mutex
 	var report relay.Report
+	followed := false
 	staleTimer := time.AfterFunc(time.Hour, func() {})
 	defer func() { staleTimer.Stop() }()
 	err := snapshot.Follow(ctx, r.Address, func(u snapshot.Update, age time.Duration) error {
@@ -153,7 +240,9 @@
 		staleTimer.Stop()
 		staleTimer = time.AfterFunc(report.FreshFor(now), func() { cancel(errRelayStale) })
 		v.applyUpdate(u)
-		if u.Lists != nil && v.source.setUsesRelay(true) {
+		if u.Lists != nil && !followed {
+			followed = true
+			v.source.set(fromRelay)
 			v.cfg.Log.WithFields(logrus.Fields{"relay": r.Name, "age_ms": age.Milliseconds()}).Info("relay: followed")
 		}
 		return nil
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -103,7 +103,7 @@
 
 func (v *fleetView) runInformer(ctx context.Context, kind string, h kindHandler) {
 	informer.New(informer.Config{
-		Store: pausingStore{Store: v.cfg.Store, source: &v.source}, Kind: kind,
+		Store: pausingStore{Store: v.cfg.Store, source: &v.source, nodeKind: v.cfg.Platform.NodeKind}, Kind: kind,
 		Replace:   func(l object.List) { v.replace(kind, l, h.replace) },
 		Apply:     func(e object.Event) { v.apply(kind, e, h.apply) },
 		OnContact: func() { v.recordContact(kind) },
@@ -274,6 +274,13 @@
 	}
 }
 
+// isStoreUnavailable reports whether the store does not answer for the configuration.
+func (v *fleetView) isStoreUnavailable() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.unavailable[v.cfg.Platform.ConfigKind]
+}
+
 // holdUntil returns the time until which targets without an entry stay in use, zero if there was no recent outage.
 func (v *fleetView) holdUntil(now time.Time) time.Time {
 	v.mu.Lock()
--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -91,6 +91,11 @@
 	m.scope.Tagged(map[string]string{"kind": kind, "change": change}).Counter("store_changes").Inc(1)
 }
 
+// CountStoreCall counts a call of the store by its operation, the kind of object and its result.
+func (m *Meter) CountStoreCall(operation, kind, result string) {
+	m.scope.Tagged(map[string]string{"operation": operation, "kind": kind, "result": result}).Counter("store_calls").Inc(1)
+}
+
 // Gauge sets a gauge to a value.
 func (m *Meter) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
