Keep relays through a loss of history, and let a starting node learn its role before it watches

A restarted node wrote its entry twice, the first time without its version. The role is decided once the nodes' entries have been read; their changes are put in the registry together. A node takes the version of its entry from the list that it reads anyway.

--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -18,9 +18,12 @@
 	relaysPerDatacentre = 2
 	// heartbeatTimeout is how long a relay may send nothing; it covers several heartbeats.
 	heartbeatTimeout = time.Second
-	// maxStoreAge is the maximum age of a relay's view of the store: its longest watch without events plus the time that
-	// the report spends on the network.
-	maxStoreAge = 1400 * time.Millisecond
+	// minStoreAge and maxStoreAge bound the age of a relay's view of the store from which it is stale: the least is its
+	// longest watch without events plus the time that the report spends on the network.
+	minStoreAge = 1400 * time.Millisecond
+	maxStoreAge = 2200 * time.Millisecond
+	// readTime is reserved for a follower's own read of the store after its relay has become stale.
+	readTime = 1200 * time.Millisecond
 )
 
 // RelaysFor returns the relays for a node, best first; there are none for a relay itself and for nodes of a small fleet.
@@ -112,22 +115,33 @@
 	return ranked[:min(count, len(ranked))]
 }
 
+// MaxStoreAge returns the age of a relay's view of the store from which it is stale, given the time within which a change
+// must be in force.
+//
+// Open watches of a store that loses its history are never answered. A relay learns that from the timeout of its watch and
+// lists again, and its followers should not all turn to the store meanwhile.
+func MaxStoreAge(applyTime time.Duration) time.Duration {
+	return min(maxStoreAge, max(minStoreAge, applyTime-readTime))
+}
+
 // Report is the last report of a relay and the time of its receipt.
 type Report struct {
 	ReceivedAt time.Time
 	// StoreAge is how long before its report the relay had last heard from the store.
 	StoreAge time.Duration
+	// MaxStoreAge is the age from which the relay is stale.
+	MaxStoreAge time.Duration
 }
 
 // Fresh reports whether the report may still be relied on at now.
 func (r Report) Fresh(now time.Time) bool {
 	age := now.Sub(r.ReceivedAt)
-	return age <= heartbeatTimeout && r.StoreAge+age <= maxStoreAge
+	return age <= heartbeatTimeout && r.StoreAge+age <= r.MaxStoreAge
 }
 
 // FreshFor returns how long from now the report stays fresh if no other follows.
 func (r Report) FreshFor(now time.Time) time.Duration {
-	return min(r.ReceivedAt.Add(heartbeatTimeout).Sub(now), r.ReceivedAt.Add(maxStoreAge-r.StoreAge).Sub(now))
+	return min(r.ReceivedAt.Add(heartbeatTimeout).Sub(now), r.ReceivedAt.Add(r.MaxStoreAge-r.StoreAge).Sub(now))
 }
 
 // MergeLists merges two lists of one kind that were read at different versions of the store; the result has every change
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -210,7 +210,7 @@
 func (n *Node) register(ctx context.Context) {
 	s := n.cfg.Settings
 	self := registry.Node{Name: s.Name, Address: s.PeerAddress, Datacentre: s.Datacentre, StartedAt: n.cfg.Now().UnixMilli(), LinkMbps: s.LinkMbps}
-	version := uint64(0)
+	version := n.view.nodeEntryVersion(ctx, s.Name)
 	for ctx.Err() == nil {
 		o, err := n.cfg.Store.Put(ctx, n.cfg.Platform.NodeKind, s.Name, version, n.cfg.Platform.NodeEntry(self))
 		var conflict *object.ConflictError
--- a/internal/operator/gatewaynode/objects.go
+++ b/internal/operator/gatewaynode/objects.go
@@ -1,6 +1,7 @@
 package gatewaynode
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -204,7 +205,26 @@
 	v.cfg.Log.WithFields(logrus.Fields{"out": v.registry.Load().OutOfService(), "revision": version}).Info("fleet: data centres out of service")
 }
 
+// entryWait is how long a node that starts waits for the list that shows whether it has an entry from an earlier run.
+const entryWait = 200 * time.Millisecond
+
+// nodeEntryVersion returns the version of a node's entry, 0 if none is known.
+func (v *fleetView) nodeEntryVersion(ctx context.Context, name string) uint64 {
+	select {
+	case <-ctx.Done():
+	case <-v.nodesListed:
+	case <-time.After(entryWait):
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if c := v.cached[v.cfg.Platform.NodeKind]; c != nil {
+		return c.objects[name].Version
+	}
+	return 0
+}
+
 func (v *fleetView) replaceNodes(l object.List) {
+	v.listOnce.Do(func() { close(v.nodesListed) })
 	v.mu.Lock()
 	v.nodes = map[string]registry.Node{}
 	v.mu.Unlock()
@@ -214,6 +234,7 @@
 	v.setNodes()
 }
 
+// applyNode records a node's change and puts it in the registry together with those that follow within coalesceWindow.
 func (v *fleetView) applyNode(e object.Event) {
 	if e.Type == object.Delete {
 		v.mu.Lock()
@@ -223,7 +244,12 @@
 	} else {
 		v.addNode(e.Object)
 	}
-	v.setNodes()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.nodesChanged {
+		v.nodesChanged = true
+		time.AfterFunc(coalesceWindow, v.setNodes)
+	}
 }
 
 func (v *fleetView) addNode(o object.Object) {
@@ -243,6 +269,7 @@
 
 func (v *fleetView) setNodes() {
 	v.mu.Lock()
+	v.nodesChanged = false
 	list := make([]registry.Node, 0, len(v.nodes))
 	for _, n := range v.nodes {
 		list = append(list, n)
--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -24,10 +24,10 @@
 	relayInitialDelay  = 900 * time.Millisecond
 	// substitutePeriod bounds the use of a relay in another data centre, and of any node in place of the store.
 	substitutePeriod = 5 * time.Second
-	// nodeWatchDelay is when a node that has started reads which others have; roleDelay is when it then decides whether it
-	// watches the store itself, early enough to be a fresh relay when the others look for one.
+	// nodeWatchDelay is when a node that has started reads which others have. Once it has, and roleTimeout at the latest, it
+	// decides whether it watches the store itself, early enough to be a fresh relay when the others look for one.
 	nodeWatchDelay = 600 * time.Millisecond
-	roleDelay      = 700 * time.Millisecond
+	roleTimeout    = 1200 * time.Millisecond
 )
 
 // Reasons for the end of a watch or a relay that are not failures of the store.
@@ -59,10 +59,13 @@
 	mode sourceMode
 	// changed is closed and replaced when the mode changes.
 	changed chan struct{}
+	// nodesRead is closed once the nodes that started with this one have been read; readOnce guards it.
+	nodesRead chan struct{}
+	readOnce  sync.Once
 }
 
-func newChangeSource() changeSource {
-	return changeSource{mode: fromStart, changed: make(chan struct{})}
+func newChangeSource() *changeSource {
+	return &changeSource{mode: fromStart, changed: make(chan struct{}), nodesRead: make(chan struct{})}
 }
 
 func (s *changeSource) state() (mode sourceMode, changed <-chan struct{}) {
@@ -139,7 +142,12 @@
 			cancel(errRelayFollowed)
 		}
 	}()
-	err := s.Store.Watch(ctx, kind, version, handle)
+	err := s.Store.Watch(ctx, kind, version, func(e object.Event) {
+		handle(e)
+		if kind == s.nodeKind && e.Type == object.Bookmark {
+			s.source.readOnce.Do(func() { close(s.source.nodesRead) })
+		}
+	})
 	if errors.Is(context.Cause(ctx), errRelayFollowed) {
 		return errRelayFollowed
 	}
@@ -148,11 +156,20 @@
 
 // followRelays follows a relay whenever there is a fresh one, and otherwise lets the node read the store.
 func (v *fleetView) followRelays(ctx context.Context) {
-	pause(ctx, roleDelay)
+	search := time.After(relayInitialDelay + rand.N(relayInitialDelay/4))
+	select {
+	case <-ctx.Done():
+	case <-v.source.nodesRead:
+	case <-time.After(roleTimeout):
+	}
+	pause(ctx, 2*coalesceWindow)
 	if !v.hasRelay() {
 		v.source.set(fromStore)
 	}
-	pause(ctx, relayInitialDelay-roleDelay+rand.N(relayInitialDelay/4))
+	select {
+	case <-ctx.Done():
+	case <-search:
+	}
 	for ctx.Err() == nil {
 		if v.followAnyRelay(ctx) {
 			continue
@@ -224,6 +241,7 @@
 		retry := time.AfterFunc(substitutePeriod, func() { cancel(errSubstituteEnded) })
 		defer retry.Stop()
 	}
+	maxAge := relay.MaxStoreAge(min(v.cfg.Settings.DrainTime, v.cfg.Settings.ConfigTime))
 	var mu sync.Mutex
 	var report relay.Report
 	followed := false
@@ -232,7 +250,7 @@
 	err := snapshot.Follow(ctx, r.Address, func(u snapshot.Update, age time.Duration) error {
 		now := v.cfg.Now()
 		mu.Lock()
-		report = relay.Report{ReceivedAt: now, StoreAge: age}
+		report = relay.Report{ReceivedAt: now, StoreAge: age, MaxStoreAge: maxAge}
 		mu.Unlock()
 		if !report.Fresh(now) {
 			return errRelayStale
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -50,6 +50,9 @@
 	targetsListed atomic.Bool
 	// tableLoaded is closed once there is a table.
 	tableLoaded chan struct{}
+	// nodesListed is closed once the nodes' entries have been listed; listOnce guards it.
+	nodesListed chan struct{}
+	listOnce    sync.Once
 	onChange    func()
 
 	// updateMu prevents another node's older list from overwriting one read from the store, and guards pending.
@@ -58,9 +61,11 @@
 	pending []object.Event
 
 	mu sync.Mutex
-	// outOfService and nodes hold the objects of the two kinds, by name.
+	// outOfService and nodes hold the objects of the two kinds, by name; nodesChanged is set while changes of nodes are not
+	// in the registry yet.
 	outOfService map[string]bool
 	nodes        map[string]registry.Node
+	nodesChanged bool
 	// unavailable holds, by kind, whether the store is unavailable; availableSince holds when it last became available
 	// again.
 	unavailable    map[string]bool
@@ -75,11 +80,11 @@
 
 	// broadcaster forwards changes to the nodes that use this one as their relay.
 	broadcaster snapshot.Broadcaster
-	source      changeSource
+	source      *changeSource
 }
 
 func newFleetView(cfg Config, m *metrics.Meter) *fleetView {
-	v := &fleetView{cfg: cfg, meter: m, tableLoaded: make(chan struct{}), outOfService: map[string]bool{}, nodes: map[string]registry.Node{}, unavailable: map[string]bool{}, availableSince: map[string]time.Time{}, available: make(chan struct{}), cached: map[string]*cachedList{}, lastContact: map[string]time.Time{}, source: newChangeSource()}
+	v := &fleetView{cfg: cfg, meter: m, tableLoaded: make(chan struct{}), nodesListed: make(chan struct{}), outOfService: map[string]bool{}, nodes: map[string]registry.Node{}, unavailable: map[string]bool{}, availableSince: map[string]time.Time{}, available: make(chan struct{}), cached: map[string]*cachedList{}, lastContact: map[string]time.Time{}, source: newChangeSource()}
 	v.registry.Store(registry.New())
 	return v
 }
@@ -103,7 +108,7 @@
 
 func (v *fleetView) runInformer(ctx context.Context, kind string, h kindHandler) {
 	informer.New(informer.Config{
-		Store: pausingStore{Store: v.cfg.Store, source: &v.source, nodeKind: v.cfg.Platform.NodeKind}, Kind: kind,
+		Store: pausingStore{Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind}, Kind: kind,
 		Replace:   func(l object.List) { v.replace(kind, l, h.replace) },
 		Apply:     func(e object.Event) { v.apply(kind, e, h.apply) },
 		OnContact: func() { v.recordContact(kind) },
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -24,6 +24,8 @@
 	LinkMbps float64
 	// DrainTime is how long a target keeps serving after it has announced that it drains.
 	DrainTime time.Duration
+	// ConfigTime is the time within which a configuration must be in force.
+	ConfigTime time.Duration
 	// GracePeriod is the time between SIGTERM and SIGKILL.
 	GracePeriod time.Duration
 	RetryBudget RetryBudget
