Watch the nodes' entries from the start, and decide on the role at once after a restart

Cause: a pause of 0.6 s before the first watch of the nodes' entries leaves nodes that restart together with the former entries of each other, by which they choose dispatchers. Change: the nodes' entries are watched from the start; a node whose entry is already listed decides on its role at once. A substitute relay is followed for 4 s at a time. Conclusion: kept, since dispatchers must agree after a restart.

--- a/internal/operator/gatewaynode/objects.go
+++ b/internal/operator/gatewaynode/objects.go
@@ -224,7 +224,6 @@
 }
 
 func (v *fleetView) replaceNodes(l object.List) {
-	v.listOnce.Do(func() { close(v.nodesListed) })
 	v.mu.Lock()
 	v.nodes = map[string]registry.Node{}
 	v.mu.Unlock()
@@ -232,6 +231,7 @@
 		v.addNode(o)
 	}
 	v.setNodes()
+	v.listOnce.Do(func() { close(v.nodesListed) })
 }
 
 // applyNode records a node's change and puts it in the registry together with those that follow within coalesceWindow.
--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -23,11 +23,12 @@
 	relayRetryInterval = 2 * time.Second
 	relayInitialDelay  = 900 * time.Millisecond
 	// substitutePeriod bounds the use of a relay in another data centre, and of any node in place of the store.
-	substitutePeriod = 5 * time.Second
-	// nodeWatchDelay is when a node that has started reads which others have. Once it has, and roleTimeout at the latest, it
-	// decides whether it watches the store itself, early enough to be a fresh relay when the others look for one.
-	nodeWatchDelay = 600 * time.Millisecond
-	roleTimeout    = 1200 * time.Millisecond
+	substitutePeriod = 4 * time.Second
+	// settleTime is how long the nodes of a fleet that starts take to write their entries. A node that has read them after
+	// it, and roleTimeout at the latest, decides whether it watches the store itself, early enough to be a fresh relay when
+	// the others look for one.
+	settleTime  = 600 * time.Millisecond
+	roleTimeout = 1200 * time.Millisecond
 )
 
 // Reasons for the end of a watch or a relay that are not failures of the store.
@@ -59,13 +60,15 @@
 	mode sourceMode
 	// changed is closed and replaced when the mode changes.
 	changed chan struct{}
-	// nodesRead is closed once the nodes that started with this one have been read; readOnce guards it.
+	// settled is closed settleTime after the start, nodesRead once the nodes' entries have been read after it; readOnce
+	// guards nodesRead.
+	settled   chan struct{}
 	nodesRead chan struct{}
 	readOnce  sync.Once
 }
 
 func newChangeSource() *changeSource {
-	return &changeSource{mode: fromStart, changed: make(chan struct{}), nodesRead: make(chan struct{})}
+	return &changeSource{mode: fromStart, changed: make(chan struct{}), settled: make(chan struct{}), nodesRead: make(chan struct{})}
 }
 
 func (s *changeSource) state() (mode sourceMode, changed <-chan struct{}) {
@@ -87,6 +90,15 @@
 	return former
 }
 
+// recordNodesRead records that the nodes' entries have been read.
+func (s *changeSource) recordNodesRead() {
+	select {
+	case <-s.settled:
+		s.readOnce.Do(func() { close(s.nodesRead) })
+	default:
+	}
+}
+
 // awaitMode waits until the mode is the given one.
 func (s *changeSource) awaitMode(ctx context.Context, mode sourceMode) error {
 	for {
@@ -113,20 +125,15 @@
 // Watch watches the store, or waits until the relay is lost.
 //
 // When all nodes of a fleet start, many objects change within a second, and most nodes are about to follow a relay, which
-// passes on what they miss. Until then only the nodes' entries are watched, after nodeWatchDelay.
+// passes on what they miss. Until then only the nodes' entries are watched.
 func (s pausingStore) Watch(ctx context.Context, kind string, version uint64, handle func(object.Event)) error {
 	mode, changed := s.source.state()
-	if mode == fromStart {
-		var delay <-chan time.Time
-		if kind == s.nodeKind {
-			delay = time.After(nodeWatchDelay)
-		}
+	if mode == fromStart && kind != s.nodeKind {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
 			mode, _ = s.source.state()
-		case <-delay:
 		}
 	}
 	if mode == fromRelay {
@@ -145,7 +152,7 @@
 	err := s.Store.Watch(ctx, kind, version, func(e object.Event) {
 		handle(e)
 		if kind == s.nodeKind && e.Type == object.Bookmark {
-			s.source.readOnce.Do(func() { close(s.source.nodesRead) })
+			s.source.recordNodesRead()
 		}
 	})
 	if errors.Is(context.Cause(ctx), errRelayFollowed) {
@@ -157,12 +164,16 @@
 // followRelays follows a relay whenever there is a fresh one, and otherwise lets the node read the store.
 func (v *fleetView) followRelays(ctx context.Context) {
 	search := time.After(relayInitialDelay + rand.N(relayInitialDelay/4))
-	select {
-	case <-ctx.Done():
-	case <-v.source.nodesRead:
-	case <-time.After(roleTimeout):
+	time.AfterFunc(settleTime, func() { close(v.source.settled) })
+	// A node that starts again finds the entries of all nodes; the others have to wait for them.
+	if v.nodeEntryVersion(ctx, v.cfg.Settings.Name) == 0 {
+		select {
+		case <-ctx.Done():
+		case <-v.source.nodesRead:
+		case <-time.After(roleTimeout):
+		}
+		pause(ctx, 2*coalesceWindow)
 	}
-	pause(ctx, 2*coalesceWindow)
 	if !v.hasRelay() {
 		v.source.set(fromStore)
 	}
