Log and count how a target framed its response and where a stream stopped

A stream cut before its first event hid its error. Change: package eventstream finds the boundaries of events; the lines of requests and failed attempts carry framing, bytes, events, in_event and the error; metric responses by framing and end. No decision changes.

--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -67,6 +67,16 @@
 	m.scope.Tagged(map[string]string{"service": service}).Timer("send_time").Record(took)
 }
 
+// CountResponse counts a response of a target of a service by how its body was framed and whether it was read to its
+// end.
+func (m *Meter) CountResponse(service, framing string, isComplete bool) {
+	end := "whole"
+	if !isComplete {
+		end = "broken"
+	}
+	m.scope.Tagged(map[string]string{"service": service, "framing": framing, "end": end}).Counter("responses").Inc(1)
+}
+
 // RecordStageCall counts a batch call to a stage target, its pieces, and the most pieces that it could have held.
 func (m *Meter) RecordStageCall(service, result string, pieces, capacity int, took time.Duration) {
 	m.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("stage_calls").Inc(1)
--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -62,11 +62,36 @@
 	IsMismatched func(http.Header) bool
 }
 
+// Framing is how a response marks the end of its body.
+type Framing string
+
+const (
+	// FramedByLength bodies have a Content-Length, or no body is allowed.
+	FramedByLength Framing = "length"
+	// FramedByChunks bodies end with a last chunk.
+	FramedByChunks Framing = "chunks"
+	// FramedByClose bodies end when the connection is closed, so that the end of a truncated one may look the same.
+	FramedByClose Framing = "close"
+)
+
 // Response is a target's response; Body must be closed.
 type Response struct {
-	Status int
-	Header http.Header
-	Body   io.ReadCloser
+	Status  int
+	Header  http.Header
+	Body    io.ReadCloser
+	Framing Framing
+}
+
+// framing returns how a response marks the end of its body.
+func framing(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	case resp.ContentLength >= 0:
+		return FramedByLength
+	default:
+		return FramedByClose
+	}
 }
 
 // Pool keeps connections to targets.
@@ -211,7 +236,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
 	b := &responseBody{pool: p, address: address, conn: c, resp: resp, sent: sent, stopCancel: stop}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Framing: framing(resp)}, nil
 }
 
 func (r Request) head() []byte {
@@ -245,7 +270,7 @@
 		if r.IsMismatched == nil || !r.IsMismatched(resp.Header) {
 			return resp, nil
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if framing(resp) == FramedByClose {
 			return nil, errMismatched
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes)); err != nil {
@@ -283,8 +308,7 @@
 	b.closed = true
 	active := b.stopCancel()
 	reusable := b.atEOF && active && !b.resp.Close && b.isRequestSent()
-	framed := b.resp.ContentLength >= 0 || len(b.resp.TransferEncoding) > 0
-	if !reusable || !framed {
+	if !reusable || framing(b.resp) == FramedByClose {
 		return b.conn.netConn.Close()
 	}
 	b.conn.keepAlive = parseKeepAlive(b.resp.Header, b.conn.keepAlive)
--- /dev/null
+++ b/internal/wire/eventstream/progress.go
@@ -0,0 +1,53 @@
+package eventstream
+
+// Progress is how far a stream has been read; the zero value is its start.
+type Progress struct {
+	// Events is the number of complete events.
+	Events int
+	// InEvent is set if the stream has begun an event and not completed it.
+	InEvent bool
+	// line is the state of the line being read.
+	line line
+	// afterCR is set if the last byte was a carriage return, so that a line feed belongs to the same line ending.
+	afterCR bool
+}
+
+// line is the part of a line that has been read.
+type line string
+
+const (
+	lineStart   line = ""
+	lineComment line = "comment"
+	lineField   line = "field"
+)
+
+// With returns the progress after data, and the length of data up to the end of its last complete event, 0 if it ends
+// none. Lines may end with LF, CRLF or CR; comments belong to no event.
+func (p Progress) With(data []byte) (Progress, int) {
+	end := 0
+	for i, b := range data {
+		if b == '\n' && p.afterCR {
+			p.afterCR = false
+			if p.line == lineStart && !p.InEvent && end == i {
+				end++
+			}
+			continue
+		}
+		p.afterCR = b == '\r'
+		switch {
+		case b == '\n' || b == '\r':
+			if p.line == lineStart && p.InEvent {
+				p.Events++
+				p.InEvent = false
+				end = i + 1
+			}
+			p.line = lineStart
+		case p.line == lineStart && b == ':':
+			p.line = lineComment
+		case p.line == lineStart:
+			p.line = lineField
+			p.InEvent = true
+		}
+	}
+	return p, end
+}
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -152,6 +152,15 @@
 	return string(o.kind)
 }
 
+// isTruncated reports whether the response to a send ended early.
+func (r sendResult) isTruncated() bool {
+	o := r.final
+	if o == nil {
+		o = r.fallback
+	}
+	return o.cause == causeTruncated
+}
+
 // moveTimeout returns how long to wait for a response header before the request moves to another target, or 0 if it
 // does not move.
 func (g *Gateway) moveTimeout(now time.Time, rs *requestState) time.Duration {
@@ -201,26 +210,32 @@
 		g.releaseResults(rs)
 	}
 	flags := g.cfg.Headers.ParseResponseFlags(rs.ID, resp.Status, resp.Header)
+	rw.received = receivedBody{framing: resp.Framing}
 	result := g.processResponse(ctx, r, rs, rw, resp, flags)
 	targetFailed := result.final == nil || result.final.kind == truncated
 	backoff := g.loads.finish(g.cfg.Now(), t.ID, targetFailed && r.Context().Err() == nil)
+	rw.received.addTo(rs.log)
+	g.cfg.Meter.CountResponse(rs.service.Name, string(rw.received.framing), !result.isTruncated())
 	if targetFailed {
-		g.logFailedAttempt(rs, t, resp.Status, flags, result, backoff)
+		g.logFailedAttempt(rs, t, resp.Status, flags, rw.received, result, backoff)
 	}
 	return result
 }
 
-func (g *Gateway) logFailedAttempt(rs *requestState, t registry.Target, status int, flags call.ResponseFlags, result sendResult, backoff time.Duration) {
-	reason := ""
-	if result.fallback != nil {
-		reason = result.fallback.reason
-	} else if result.final != nil {
-		reason = result.final.reason
+func (g *Gateway) logFailedAttempt(rs *requestState, t registry.Target, status int, flags call.ResponseFlags, received receivedBody, result sendResult, backoff time.Duration) {
+	out := result.fallback
+	if out == nil {
+		out = result.final
 	}
-	g.cfg.Log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"request": rs.ID, "target": t.ID, "status": status, "not_run": flags.NotRun, "sealed": flags.Signed,
-		"reason": reason, "avoid_ms": backoff.Milliseconds(),
-	}).Warn("gateway: attempt failed")
+		"reason": out.reason, "avoid_ms": backoff.Milliseconds(),
+	}
+	if out.err != nil {
+		fields[logrus.ErrorKey] = out.err.Error()
+	}
+	received.addTo(fields)
+	g.cfg.Log.WithFields(fields).Warn("gateway: attempt failed")
 }
 
 // sendFailure returns the result of a send that got no response.
@@ -275,20 +290,22 @@
 	canRetry := rs.sends+1 < rs.route.MaxAttempts && rs.route.IsRetryable()
 	if resp.Status >= 500 && canRetry {
 		buffered, err := bufferResponse(resp)
+		rw.received.bytes = len(buffered.body)
 		if err == nil {
 			return sendResult{fallback: buffered.outcome(rw.w), mayHaveRun: true, countsAsAttempt: true}
 		}
-		return sendResult{fallback: failure(http.StatusBadGateway, causeTruncated, "answer was cut"), mayHaveRun: true, countsAsAttempt: true}
+		return sendResult{fallback: failure(http.StatusBadGateway, causeTruncated, "answer was cut").withError(err), mayHaveRun: true, countsAsAttempt: true}
 	}
 	if rs.route.RetryPolicy == route.Streaming && success {
 		return rw.stream(ctx, r, resp, rs.route.Resumable)
 	}
 	buffered, err := bufferResponse(resp)
+	rw.received.bytes = len(buffered.body)
 	if err != nil {
 		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved) {
 			return sendResult{final: g.timeout(rw, true)}
 		}
-		return sendResult{fallback: failure(http.StatusBadGateway, causeTruncated, "answer was cut"), mayHaveRun: true, countsAsAttempt: true}
+		return sendResult{fallback: failure(http.StatusBadGateway, causeTruncated, "answer was cut").withError(err), mayHaveRun: true, countsAsAttempt: true}
 	}
 	rw.onFirstByte()
 	return sendResult{final: buffered.write(rw.w)}
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -45,6 +45,8 @@
 	RecordRequest(pipeline, outcome, reason string, took time.Duration)
 	// RecordSend counts an attempt at a target of a service by its result.
 	RecordSend(service, result string, took time.Duration)
+	// CountResponse counts a response of a target by how its body was framed and whether it was read to its end.
+	CountResponse(service, framing string, isComplete bool)
 }
 
 // Config holds the settings and dependencies of a Gateway.
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -58,10 +58,12 @@
 
 // outcome is the end of a request; written is set if its response has already been sent.
 type outcome struct {
-	kind       outcomeKind
-	status     int
-	cause      cause
+	kind   outcomeKind
+	status int
+	cause  cause
+	// reason is also the body of the gateway's own response; err is only logged.
 	reason     string
+	err        error
 	retryAfter time.Duration
 	written    bool
 	// abort cuts the connection, so that an incomplete response does not look complete.
@@ -84,6 +86,12 @@
 	return &outcome{kind: failed, status: status, cause: c, reason: reason}
 }
 
+// withError returns the outcome with the error that led to it.
+func (o outcome) withError(err error) *outcome {
+	o.err = err
+	return &o
+}
+
 func cancellation() *outcome {
 	return &outcome{kind: cancelled, cause: causeCaller, reason: "caller left", abort: true}
 }
@@ -140,6 +148,9 @@
 		rs.log["cause"] = string(o.cause)
 		rs.log["reason"] = o.reason
 	}
+	if o.err != nil {
+		rs.log[logrus.ErrorKey] = o.err.Error()
+	}
 	if o.kind == refused {
 		rs.log["return_ms"] = o.retryAfter.Milliseconds()
 	}
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -9,7 +9,10 @@
 	"net/http"
 	"strconv"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/eventstream"
 )
 
 const (
@@ -32,6 +35,8 @@
 	// onFirstByte is also called then.
 	stopMove    func()
 	onFirstByte func()
+	// received is what the last target has sent.
+	received receivedBody
 }
 
 // finalOutcome returns the outcome of a request. A response of which a part has been sent can only be aborted, unless o
@@ -43,6 +48,23 @@
 	return &outcome{kind: truncated, cause: causeNotResumed, reason: "stream was not resumed: " + o.reason, abort: true, inputLost: o.inputLost}
 }
 
+// receivedBody is what a target has sent of a body, for the log.
+type receivedBody struct {
+	framing connection.Framing
+	bytes   int
+	// events is set for a stream only.
+	events *eventstream.Progress
+}
+
+func (b receivedBody) addTo(fields logrus.Fields) {
+	fields["framing"] = b.framing
+	fields["bytes"] = b.bytes
+	if b.events != nil {
+		fields["events"] = b.events.Events
+		fields["in_event"] = b.events.InEvent
+	}
+}
+
 // bufferedResponse is a complete response of a target.
 type bufferedResponse struct {
 	status int
@@ -100,8 +122,11 @@
 func (rw *responseWriter) stream(ctx context.Context, r *http.Request, resp *connection.Response, resumable bool) sendResult {
 	buf := make([]byte, readSize)
 	var pending []byte
+	rw.received = receivedBody{framing: resp.Framing, events: &eventstream.Progress{}}
 	for {
 		n, err := resp.Body.Read(buf)
+		rw.received.bytes += n
+		*rw.received.events, _ = rw.received.events.With(buf[:n])
 		if n > 0 {
 			rw.start(resp, resumable)
 			out := buf[:n]
@@ -139,7 +164,7 @@
 		return sendResult{final: cancellation()}
 	}
 	if !rw.headerSent {
-		return sendResult{fallback: failure(http.StatusBadGateway, causeTruncated, "stream was cut before its first event"), mayHaveRun: true, countsAsAttempt: true}
+		return sendResult{fallback: failure(http.StatusBadGateway, causeTruncated, "stream was cut before its first event").withError(err), mayHaveRun: true, countsAsAttempt: true}
 	}
 	out := &outcome{kind: truncated, cause: causeTruncated, reason: "stream was cut: " + err.Error(), abort: true}
 	if !resumable || (ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved)) {
