Take a stream that its target ends inside an event as truncated

Cause: the gateway took every end of a body without a read error for the end of the answer. An answer with neither a length nor chunks ends with its connection, so a target that crashes and whose connection is closed without a reset looks like one that has finished, and the gateway put a last chunk behind it. Change: eventstream decides whether a stream that ended without an error may be complete: not inside an event, and not before the first event if only the connection's end marks the end. Such a stream is cut for its caller, resumed if it may be, or answered 502 if nothing was sent. Answers that are read whole before they are passed on are checked the same way if they are streams. Measured: TestUnframedStreamCutInEventDoesNotLookComplete (five cases), TestStreamEndedInEventDoesNotLookComplete and TestResumesUnframedStreamCutInEvent failed before and pass; TestBufferedStreamCutInEventIsFailure fails without the change of response.go. Conclusion: what a target leaves open is decided by the events. A stream that is closed exactly between two events cannot be told from a complete one.

--- a/internal/wire/eventstream/progress.go
+++ b/internal/wire/eventstream/progress.go
@@ -1,5 +1,20 @@
 package eventstream
 
+import (
+	"errors"
+	"mime"
+	"net/http"
+)
+
+// mediaType is the content type of a stream of events.
+const mediaType = "text/event-stream"
+
+// IsStream reports whether a response header announces a stream of events.
+func IsStream(h http.Header) bool {
+	t, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && t == mediaType
+}
+
 // Progress is how far a stream has been read; the zero value is its start.
 type Progress struct {
 	// Events is the number of complete events.
@@ -51,3 +66,22 @@
 	}
 	return p, end
 }
+
+// The ways in which a stream shows that it ended early.
+var (
+	errInEvent = errors.New("stream ended inside an event")
+	errNoEvent = errors.New("connection was closed before the first event")
+)
+
+// EndError returns why a stream that ended without a read error is truncated, or nil if it may be complete. explicit is
+// set if the transport marked the end of the body: a closed connection alone does not tell an end from a crash.
+func (p Progress) EndError(explicit bool) error {
+	switch {
+	case p.InEvent:
+		return errInEvent
+	case p.Events == 0 && !explicit:
+		return errNoEvent
+	default:
+		return nil
+	}
+}
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// endError returns why a stream that was read without an error is truncated, or nil. Targets may omit the content type
+// on a streaming route.
+func (b receivedBody) endError(h http.Header) error {
+	if h.Get("Content-Type") != "" && !eventstream.IsStream(h) {
+		return nil
+	}
+	return b.events.EndError(b.framing != connection.FramedByClose)
+}
+
 // bufferedResponse is a complete response of a target.
 type bufferedResponse struct {
 	status int
@@ -78,6 +87,10 @@
 	if err == nil && len(data) > maxBufferedBytes {
 		err = errors.New("response is too large")
 	}
+	if err == nil && eventstream.IsStream(resp.Header) {
+		events, _ := eventstream.Progress{}.With(data)
+		err = events.EndError(resp.Framing != connection.FramedByClose)
+	}
 	return bufferedResponse{status: resp.Status, header: resp.Header, body: data}, err
 }
 
@@ -148,6 +161,9 @@
 			continue
 		}
 		if err == io.EOF {
+			err = rw.received.endError(resp.Header)
+		}
+		if err == nil {
 			rw.start(resp, resumable)
 			if e := rw.write(pending); e != nil {
 				return sendResult{final: cancellation()}
