Do not take a bodiless answer for one that its connection ends

Cause: an answer to HEAD has neither a length nor chunks, and no body; after it counted as a stream that was closed before its first event. Measured: TestHeadOfStreamIsNotTruncated got 502, now 200. Conclusion: found by reading the change again, not seen by a caller.

--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -87,7 +87,7 @@
 	switch {
 	case len(resp.TransferEncoding) > 0:
 		return FramedByChunks
-	case resp.ContentLength >= 0:
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
 		return FramedByLength
 	default:
 		return FramedByClose
