Do not look for a response inside the rest of a long mismatched one

Cause: same class as the incident: the end of a bounded read was taken for the end of a body. An answer to another call of more than 4 MB was skipped up to the bound, and the next response was read from the middle of its body. Change: an answer that is too long to be skipped ends the connection. Measured: TestDoesNotParseRestOfLongMismatchedBody got "fake" from inside the body, now an error. Conclusion: found by looking for the cause elsewhere; no caller has reported it.

--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -273,9 +273,13 @@
 		if framing(resp) == FramedByClose {
 			return nil, errMismatched
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
+		if err != nil {
 			return nil, err
 		}
+		if n > maxSkippedBytes {
+			return nil, errMismatched
+		}
 	}
 	return nil, errMismatched
 }
