Reset the connection of an HTTP/1.0 caller whose stream was cut

Cause: same class as the incident, on the caller's side: a caller of HTTP/1.0 gets no chunks, so the end of its connection is the end of the body, and a cut stream looked complete. Measured: TestCutStreamIsResetForHTTP10Caller got the end of the connection, now a reset. Conclusion: found by looking for the cause elsewhere; the users' callers speak HTTP/1.1.

--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -136,7 +136,7 @@
 		return err
 	}
 	// Uses the standard server without a library's router, because request targets must be forwarded unchanged.
-	n.callerServer = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	n.callerServer = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: gateway.ConnContext}
 	go n.serve("callers", func() error { return n.callerServer.Serve(callers) })
 	readyRoutes := []rest.Route{{Method: http.MethodGet, Path: n.cfg.ReadyPath, Handler: n.serveReady}}
 	if err := n.serveInternal(listen, "ready", s.ReadyAddress, readyRoutes); err != nil {
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -167,10 +168,26 @@
 	out.write(w)
 	g.recordOutcome(rs, out)
 	if out.abort {
-		panic(http.ErrAbortHandler)
+		abort(r)
 	}
 }
 
+type connKey struct{}
+
+// ConnContext makes a caller's connection known to the gateway; it is for http.Server.ConnContext.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// abort ends a response so that it does not look complete. An HTTP/1.0 caller gets no chunks, so its connection is reset.
+func abort(r *http.Request) {
+	if tcp, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // admit checks a request against the current configuration and reads its body. It returns nil to admit the request.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, rs *requestState) *outcome {
 	if rs.table == nil {
