Keep nodes from following each other, and count the age of a relay's view

Traced on a scratch copy with times in milliseconds: both relays of a data centre wait for a watch that the store never answers after it has lost its history, both take it for unavailable for some 100 ms, and in that time their search for a substitute picks the other one; both then stop reading the store until the other's view counts as stale, and all followers leave. Behind it: a list from another node counted as a contact with the store at the time of its arrival, however old that node's view was, so that nodes that the store rejects kept each other fresh. Ruled out: a test that is too strict (the users' 3 s are its bound), load (it failed alone). Change: a contact counts from when the relay had it; a node that follows another one cannot be followed; another node takes the place of the store only after 0.5 s without it; an answer that history is gone shows that the store is available.

--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -24,6 +24,9 @@
 	relayInitialDelay  = 900 * time.Millisecond
 	// substitutePeriod bounds the use of a relay in another data centre, and of any node in place of the store.
 	substitutePeriod = 4 * time.Second
+	// substituteDelay is how long the store must have been unavailable before another node is followed in its place: one
+	// watch without an answer may only mean that history was lost.
+	substituteDelay = 500 * time.Millisecond
 	// settleTime is how long the nodes of a fleet that starts take to write their entries. A node that has read them after
 	// it, and roleTimeout at the latest, decides whether it watches the store itself, early enough to be a fresh relay when
 	// the others look for one.
@@ -233,7 +236,7 @@
 // store does not answer.
 func (v *fleetView) relays() []registry.Node {
 	nodes := v.fleetNodes()
-	if relays := relay.RelaysFor(v.cfg.Settings.Name, nodes); len(relays) > 0 || !v.isStoreUnavailable() {
+	if relays := relay.RelaysFor(v.cfg.Settings.Name, nodes); len(relays) > 0 || v.unavailableFor(v.cfg.Now()) < substituteDelay {
 		return relays
 	}
 	return relay.PeersFor(registry.Node{Name: v.cfg.Settings.Name, Datacentre: v.cfg.Settings.Datacentre}, nodes)
@@ -241,7 +244,7 @@
 
 // isSubstitute reports whether a node is followed only until the node's own relays, or the store, are tried again.
 func (v *fleetView) isSubstitute(r registry.Node) bool {
-	return r.Datacentre != v.cfg.Settings.Datacentre || v.isStoreUnavailable()
+	return r.Datacentre != v.cfg.Settings.Datacentre || v.unavailableFor(v.cfg.Now()) > 0
 }
 
 // followRelay applies the updates of one relay until the stream ends or the relay is stale.
@@ -268,7 +271,7 @@
 		}
 		staleTimer.Stop()
 		staleTimer = time.AfterFunc(report.FreshFor(now), func() { cancel(errRelayStale) })
-		v.applyUpdate(u)
+		v.applyUpdate(u, now.Add(-age))
 		if u.Lists != nil && !followed {
 			followed = true
 			v.source.set(fromRelay)
@@ -282,11 +285,11 @@
 	return err
 }
 
-// applyUpdate applies a relay's update.
-func (v *fleetView) applyUpdate(u snapshot.Update) {
+// applyUpdate applies an update of a relay that last heard from the store at contact.
+func (v *fleetView) applyUpdate(u snapshot.Update, contact time.Time) {
 	handlers := v.handlers()
 	for kind, l := range u.Lists {
-		v.recordContact(kind)
+		v.recordContact(kind, contact)
 		if h, ok := handlers[kind]; ok {
 			v.mergeList(kind, l, h.replace)
 		}
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -66,10 +66,10 @@
 	outOfService map[string]bool
 	nodes        map[string]registry.Node
 	nodesChanged bool
-	// unavailable holds, by kind, whether the store is unavailable; availableSince holds when it last became available
-	// again.
-	unavailable    map[string]bool
-	availableSince map[string]time.Time
+	// unavailableSince holds, by kind, when the store became unavailable if it is; availableSince holds when it last became
+	// available again.
+	unavailableSince map[string]time.Time
+	availableSince   map[string]time.Time
 	// available is closed and replaced when the store is available again for the configuration, the kind that is
 	// retried.
 	available chan struct{}
@@ -84,7 +84,7 @@
 }
 
 func newFleetView(cfg Config, m *metrics.Meter) *fleetView {
-	v := &fleetView{cfg: cfg, meter: m, tableLoaded: make(chan struct{}), nodesListed: make(chan struct{}), outOfService: map[string]bool{}, nodes: map[string]registry.Node{}, unavailable: map[string]bool{}, availableSince: map[string]time.Time{}, available: make(chan struct{}), cached: map[string]*cachedList{}, lastContact: map[string]time.Time{}, source: newChangeSource()}
+	v := &fleetView{cfg: cfg, meter: m, tableLoaded: make(chan struct{}), nodesListed: make(chan struct{}), outOfService: map[string]bool{}, nodes: map[string]registry.Node{}, unavailableSince: map[string]time.Time{}, availableSince: map[string]time.Time{}, available: make(chan struct{}), cached: map[string]*cachedList{}, lastContact: map[string]time.Time{}, source: newChangeSource()}
 	v.registry.Store(registry.New())
 	return v
 }
@@ -111,7 +111,7 @@
 		Store: pausingStore{Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind}, Kind: kind,
 		Replace:   func(l object.List) { v.replace(kind, l, h.replace) },
 		Apply:     func(e object.Event) { v.apply(kind, e, h.apply) },
-		OnContact: func() { v.recordContact(kind) },
+		OnContact: func() { v.recordContact(kind, v.cfg.Now()) },
 		OnError:   func(err error) { v.recordFailure(kind, err) },
 		Backoff:   func(ctx context.Context, d time.Duration) { v.backOff(ctx, kind, d) },
 		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -202,8 +202,17 @@
 	return v.Lists(), ch, func() { v.broadcaster.Unsubscribe(ch) }
 }
 
+// followerStaleness is the staleness of a node that follows another one, above any limit.
+const followerStaleness = time.Hour
+
 // Staleness returns the time since the store last answered for the configuration or for targets, whichever is longer.
+//
+// A node that follows another one cannot be followed: two nodes that follow each other would both wait for changes that
+// neither reads.
 func (v *fleetView) Staleness() time.Duration {
+	if mode, _ := v.source.state(); mode == fromRelay {
+		return followerStaleness
+	}
 	now := v.cfg.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -226,13 +235,20 @@
 	}
 }
 
-// recordContact records that the store, or a relay in its place, answered for a kind.
-func (v *fleetView) recordContact(kind string) {
+// recordContact records that the store answered for a kind at a time, to this node or to its relay.
+func (v *fleetView) recordContact(kind string, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.lastContact[kind] = v.cfg.Now()
-	if v.unavailable[kind] {
-		v.unavailable[kind] = false
+	if at.After(v.lastContact[kind]) {
+		v.lastContact[kind] = at
+	}
+	v.markAvailable(kind)
+}
+
+// markAvailable records that the store answers for a kind; the caller holds mu.
+func (v *fleetView) markAvailable(kind string) {
+	if v.isUnavailable(kind) {
+		delete(v.unavailableSince, kind)
 		v.availableSince[kind] = v.cfg.Now()
 		v.meter.CountStoreChange(kind, "back")
 		if kind == v.cfg.Platform.ConfigKind {
@@ -247,7 +263,7 @@
 // the configuration is retried: each call is costly, and all nodes make them.
 func (v *fleetView) backOff(ctx context.Context, kind string, d time.Duration) {
 	v.mu.Lock()
-	isUnavailable, available := v.unavailable[v.cfg.Platform.ConfigKind], v.available
+	isUnavailable, available := v.isUnavailable(v.cfg.Platform.ConfigKind), v.available
 	v.mu.Unlock()
 	if isUnavailable && kind != v.cfg.Platform.ConfigKind {
 		d = max(d, unavailablePause)
@@ -266,24 +282,34 @@
 	if errors.Is(err, errRelayFollowed) || errors.Is(err, errRelayLost) {
 		return
 	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	if errors.Is(err, object.ErrGone) {
 		v.cfg.Log.WithField("kind", kind).Info("store: history no longer available, listing again")
+		v.markAvailable(kind)
 		return
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if !v.unavailable[kind] {
-		v.unavailable[kind] = true
+	if !v.isUnavailable(kind) {
+		v.unavailableSince[kind] = v.cfg.Now()
 		v.meter.CountStoreChange(kind, "lost")
 		v.cfg.Log.WithError(err).WithField("kind", kind).Warn("store: does not answer")
 	}
 }
 
-// isStoreUnavailable reports whether the store does not answer for the configuration.
-func (v *fleetView) isStoreUnavailable() bool {
+// isUnavailable reports whether the store does not answer for a kind; the caller holds mu.
+func (v *fleetView) isUnavailable(kind string) bool {
+	_, ok := v.unavailableSince[kind]
+	return ok
+}
+
+// unavailableFor returns how long the store has not answered for the configuration, 0 if it does.
+func (v *fleetView) unavailableFor(now time.Time) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.unavailable[v.cfg.Platform.ConfigKind]
+	if since, ok := v.unavailableSince[v.cfg.Platform.ConfigKind]; ok {
+		return now.Sub(since)
+	}
+	return 0
 }
 
 // holdUntil returns the time until which targets without an entry stay in use, zero if there was no recent outage.
