Send nothing to targets that say they leave, and leave busy targets alone

Cause: a target that shuts down says so in all its answers, and one that rejects a request with 503 may name the time for which it wants nothing more. Neither header was read: a target was left only once its entry in the store said draining, and a busy one after a back-off of its own length. Change: package notice keeps what targets say of themselves, by run of the target. A leaving one gets nothing more from this node, whatever the store says; dispatchers and the nodes that send them pieces tell each other. A paused one gets no request, stage call, probe or freed result until its time is over. balancer.Place decides what becomes of the displaced load: while a target of the service is paused, and a second longer, each node uses no more than its share of the others' slots; the rest waits if it is still on time and is rejected at once with the time that is left otherwise.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -4,6 +4,8 @@
 	"maps"
 	"sort"
 	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 )
 
 // State is a target's state as reported by the target.
@@ -31,6 +33,9 @@
 	ColdUntil time.Time
 }
 
+// Run returns the run of the target that the entry describes.
+func (t Target) Run() notice.Target { return notice.Target{ID: t.ID, StartedAt: t.StartedAt} }
+
 // Cold reports whether the target is cold at now.
 func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
@@ -52,8 +57,9 @@
 	heldUntil    map[string]time.Time
 	outOfService map[string]bool
 	nodes        map[string]Node
-	// usable holds, by service, the targets that may be sent work.
+	// usable holds, by service, the targets that may be sent work; atAddress holds the targets by address.
 	usable    map[string][]Target
+	atAddress map[string]Target
 	nodeNames []string
 }
 
@@ -62,7 +68,11 @@
 
 func (r *Registry) indexed() *Registry {
 	r.usable = map[string][]Target{}
+	r.atAddress = make(map[string]Target, len(r.targets))
 	for _, t := range r.targets {
+		if other, ok := r.atAddress[t.Address]; !ok || t.StartedAt > other.StartedAt {
+			r.atAddress[t.Address] = t
+		}
 		if t.State == Ready && !r.outOfService[t.Datacentre] {
 			r.usable[t.Service] = append(r.usable[t.Service], t)
 		}
@@ -191,6 +201,12 @@
 	return t, ok
 }
 
+// AtAddress returns the target at an address, the one that started last if several entries name it.
+func (r *Registry) AtAddress(address string) (Target, bool) {
+	t, ok := r.atAddress[address]
+	return t, ok
+}
+
 // TargetCount returns the number of known targets.
 func (r *Registry) TargetCount() int { return len(r.targets) }
 
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -13,6 +13,7 @@
 	"github.com/zeromicro/go-zero/rest"
 	"google.golang.org/grpc"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/metrics"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
@@ -68,6 +69,7 @@
 	cfg             Config
 	view            *fleetView
 	meter           *metrics.Meter
+	notices         *notice.Keeper
 	dispatcher      *dispatch.Dispatcher
 	dispatchClient  *dispatch.Client
 	gateway         *gateway.Gateway
@@ -102,16 +104,18 @@
 
 func (n *Node) build() {
 	s := n.cfg.Settings
+	n.notices = notice.NewKeeper(notice.KeeperConfig{OnNotice: n.onNotice, OnInvalid: n.onInvalidNotice})
 	n.dispatcher = dispatch.New(dispatch.Config{
+		Notices: n.notices,
 		Targets: n.cfg.StageClient, Table: n.view.table.Load, Ready: n.view.tableLoaded, Registry: n.view.registry.Load, Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
 		AllowRetry:      func(now time.Time, service string) bool { return n.gateway.AllowRetry(now, service) },
 		RecordFirstSend: func(now time.Time, service string) { n.gateway.RecordFirstSend(now, service) },
 	})
 	n.view.onChange = n.dispatcher.Refresh
-	n.dispatchClient = dispatch.NewClient(dispatch.ClientConfig{Self: s.Name, Local: n.dispatcher, Registry: n.view.registry.Load, Log: n.cfg.Log, Now: n.cfg.Now})
+	n.dispatchClient = dispatch.NewClient(dispatch.ClientConfig{Self: s.Name, Local: n.dispatcher, Registry: n.view.registry.Load, Notices: n.notices, Log: n.cfg.Log, Now: n.cfg.Now})
 	n.gateway = gateway.New(gateway.Config{
 		Self: s.Name, Datacentre: s.Datacentre, Headers: n.cfg.Headers, Connections: n.cfg.Connections, Dispatch: n.dispatchClient,
-		Table: n.view.table.Load, Registry: n.view.registry.Load, RetryBudget: s.RetryBudget, ColdLimit: s.ColdLimit,
+		Table: n.view.table.Load, Registry: n.view.registry.Load, Notices: n.notices, RetryBudget: s.RetryBudget, ColdLimit: s.ColdLimit,
 		Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
 	})
 }
--- /dev/null
+++ b/internal/operator/gatewaynode/notices.go
@@ -0,0 +1,30 @@
+package gatewaynode
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
+)
+
+// onNotice logs and counts what a target has said of itself, and lets waiting pieces be placed anew.
+func (n *Node) onNotice(_ time.Time, t notice.Target, what notice.Notice, from notice.Source) {
+	target, _ := n.view.registry.Load().Target(t.ID)
+	log := n.cfg.Log.WithFields(logrus.Fields{"target": t.ID, "service": target.Service, "state": string(target.State), "from": string(from)})
+	switch what := what.(type) {
+	case notice.Leaving:
+		n.meter.CountNotice(target.Service, "leaving")
+		log.Info("fleet: target says that it leaves")
+		n.cfg.Connections.CloseIdle(target.Address)
+	case notice.Pause:
+		n.meter.CountNotice(target.Service, "pause")
+		log.WithField("for_ms", what.Duration.Milliseconds()).Info("fleet: target wants no requests for a time")
+		time.AfterFunc(what.Duration, n.dispatcher.Refresh)
+	}
+	go n.dispatcher.Refresh()
+}
+
+func (n *Node) onInvalidNotice(t notice.Target, err error) {
+	n.cfg.Log.WithError(err).WithField("target", t.ID).Warn("fleet: target sent an invalid header")
+}
--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -77,6 +77,11 @@
 	m.scope.Tagged(map[string]string{"service": service, "framing": framing, "end": end}).Counter("responses").Inc(1)
 }
 
+// CountNotice counts what a target of a service says of itself in a response.
+func (m *Meter) CountNotice(service, notice string) {
+	m.scope.Tagged(map[string]string{"service": service, "notice": notice}).Counter("target_notices").Inc(1)
+}
+
 // RecordStageCall counts a batch call to a stage target, its pieces, and the most pieces that it could have held.
 func (m *Meter) RecordStageCall(service, result string, pieces, capacity int, took time.Duration) {
 	m.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("stage_calls").Inc(1)
--- a/internal/serving/balancer/balancer.go
+++ b/internal/serving/balancer/balancer.go
@@ -17,6 +17,10 @@
 	PendingTokens int
 	// InBackoff is set if the target is in back-off after a failure.
 	InBackoff bool
+	// PausedUntil is until when the target wants no requests from this node, the zero time if it takes them. Recovering is
+	// set from the start of a pause until a little after its end.
+	PausedUntil time.Time
+	Recovering  bool
 }
 
 // Request describes the request that needs a target.
@@ -28,6 +32,8 @@
 	PromptTokens int
 	// LocalDatacentre is the data centre that is preferred among equally loaded targets.
 	LocalDatacentre string
+	// StartBy is the latest start for which the request may wait.
+	StartBy time.Time
 }
 
 // runningCost is the number of tokens that one running request counts for: its decode steps slow the prefill of others.
--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -78,6 +78,13 @@
 	}
 }
 
+// SetPauses sets until when targets want no calls, by ID; the others take them.
+func (s *Scheduler) SetPauses(until map[string]time.Time) {
+	for id, st := range s.targets {
+		st.pausedUntil = until[id]
+	}
+}
+
 // TargetsToProbe returns the targets to ask now for their free space.
 //
 // Probes are needed when a dispatcher takes over from a lost node: the results of that node's calls fill the targets
@@ -85,7 +92,7 @@
 func (s *Scheduler) TargetsToProbe(now time.Time) []registry.Target {
 	var list []registry.Target
 	for _, st := range s.targets {
-		if st.probed && st.untrackedBytes(now) == 0 || (!st.probedAt.IsZero() && now.Sub(st.probedAt) < probeInterval) {
+		if now.Before(st.pausedUntil) || st.probed && st.untrackedBytes(now) == 0 || (!st.probedAt.IsZero() && now.Sub(st.probedAt) < probeInterval) {
 			continue
 		}
 		st.probedAt = now
@@ -211,12 +218,12 @@
 	var best *targetState
 	healthy := 0
 	for _, st := range s.targets {
-		if st.slowness(now) < slowThreshold && !now.Before(st.backoffUntil) {
+		if st.slowness(now) < slowThreshold && !st.unavailable(now) {
 			healthy++
 		}
 	}
 	for _, st := range s.targets {
-		if st.busy || !st.ready(now) || s.skipped[st.target.ID] || now.Before(st.backoffUntil) || profile.ResultSpace-st.usedBytes(now) <= 0 {
+		if st.busy || !st.ready(now) || s.skipped[st.target.ID] || st.unavailable(now) || profile.ResultSpace-st.usedBytes(now) <= 0 {
 			continue
 		}
 		slowness := st.slowness(now)
--- a/internal/serving/batch/target_state.go
+++ b/internal/serving/batch/target_state.go
@@ -35,7 +35,9 @@
 	busy         bool
 	freeAt       time.Time
 	backoffUntil time.Time
-	failures     int
+	// pausedUntil is until when the target wants no calls.
+	pausedUntil time.Time
+	failures    int
 	// slowRatio is the ratio of measured to expected call time, as of measuredAt.
 	slowRatio  float64
 	measuredAt time.Time
@@ -81,12 +83,19 @@
 	if s.busy {
 		at = s.freeAt
 	}
-	if s.backoffUntil.After(at) {
-		at = s.backoffUntil
+	for _, until := range []time.Time{s.backoffUntil, s.pausedUntil} {
+		if until.After(at) {
+			at = until
+		}
 	}
 	return at
 }
 
+// unavailable reports whether the target gets no calls at now, after a failure or at its own wish.
+func (s *targetState) unavailable(now time.Time) bool {
+	return now.Before(s.backoffUntil) || now.Before(s.pausedUntil)
+}
+
 // recordNoSpace records that a call found no space for a result, so that untracked results hold the given bytes.
 //
 // This happens after a dispatcher has taken over from another node. The results of that node's calls stay until their
--- a/internal/wire/dispatch/client.go
+++ b/internal/wire/dispatch/client.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/rendezvous"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
@@ -54,6 +55,7 @@
 	Self     string
 	Local    *Dispatcher
 	Registry func() *registry.Registry
+	Notices  *notice.Keeper
 	Log      logrus.FieldLogger
 	Now      func() time.Time
 }
@@ -220,7 +222,9 @@
 	defer cancel(nil)
 	timeout := time.AfterFunc(ackTimeout, func() { cancel(errUnresponsive) })
 	defer timeout.Stop()
-	stream, err := client.Produce(ctx, toMessage(now, g))
+	m := toMessage(now, g)
+	m.Leaving = toRuns(c.cfg.Notices.Board().News(now))
+	stream, err := client.Produce(ctx, m)
 	if err != nil {
 		return nil, err
 	}
@@ -233,6 +237,7 @@
 			return nil, err
 		}
 		timeout.Reset(heartbeatTimeout)
+		c.cfg.Notices.Learn(c.cfg.Now(), fromRuns(p.Leaving))
 		switch progressState(p.State) {
 		case stateQueued, stateHeartbeat:
 		case stateInputsFetched:
--- a/internal/wire/dispatch/client_test.go
+++ b/internal/wire/dispatch/client_test.go
@@ -91,7 +91,7 @@
 	d := newTestDispatcher(f, target("t1", "a"))
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	c := NewClient(ClientConfig{Self: "self", Local: d, Registry: func() *registry.Registry { return r }, Log: log, Now: time.Now})
+	c := NewClient(ClientConfig{Self: "self", Local: d, Registry: func() *registry.Registry { return r }, Notices: newTestKeeper(), Log: log, Now: time.Now})
 	d.Drain()
 	if err := d.CheckAccepting(); err != ErrDraining {
 		t.Fatalf("got %v, want %v", err, ErrDraining)
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 )
@@ -48,14 +49,14 @@
 	ErrDraining = merry.Sentinel("desk is leaving")
 )
 
-// TargetClient calls stage targets.
+// TargetClient calls stage targets; record is called with the notices of a response, if it has any.
 type TargetClient interface {
 	// RunBatch makes one call. An error means that no piece has a result.
-	RunBatch(ctx context.Context, now time.Time, t registry.Target, profile route.BatchProfile, pieces []batch.Piece) (batch.Reply, error)
+	RunBatch(ctx context.Context, now time.Time, t registry.Target, profile route.BatchProfile, pieces []batch.Piece, record notice.Recorder) (batch.Reply, error)
 	// AvailableSpace asks a target for the space that it has left for results.
-	AvailableSpace(ctx context.Context, t registry.Target) (batch.Space, error)
+	AvailableSpace(ctx context.Context, t registry.Target, record notice.Recorder) (batch.Space, error)
 	// Free frees results on the target at an address.
-	Free(ctx context.Context, address string, handles []string) error
+	Free(ctx context.Context, address string, handles []string, record notice.Recorder) error
 }
 
 // Meter records the metrics of a dispatcher.
@@ -75,6 +76,7 @@
 	// Ready is closed once there is a table.
 	Ready    <-chan struct{}
 	Registry func() *registry.Registry
+	Notices  *notice.Keeper
 	Log      logrus.FieldLogger
 	Now      func() time.Time
 	Meter    Meter
@@ -229,7 +231,7 @@
 	if !ok {
 		return profile, 0, &batch.RejectedError{Reason: "service runs no stages"}
 	}
-	s.SetTargets(now, d.targets(s))
+	d.updateTargets(now, s)
 	d.probeTargets(now, s, profile)
 	wait, err := s.Admit(now, profile, g)
 	return profile, wait, err
@@ -254,19 +256,27 @@
 	return s
 }
 
-// targets returns the usable targets of a scheduler's shard in the current registry.
-func (d *Dispatcher) targets(s *shardScheduler) []registry.Target {
-	list := d.cfg.Registry().Usable(s.service)
-	if s.shard == "" {
-		return list
-	}
-	var inShard []registry.Target
-	for _, t := range list {
-		if t.Datacentre == s.shard {
-			inShard = append(inShard, t)
+// updateTargets tells a scheduler the usable targets of its shard and which of them are paused; the lock is held.
+func (d *Dispatcher) updateTargets(now time.Time, s *shardScheduler) {
+	board := d.cfg.Notices.Board()
+	var list []registry.Target
+	pauses := map[string]time.Time{}
+	for _, t := range d.cfg.Registry().Usable(s.service) {
+		if (s.shard != "" && t.Datacentre != s.shard) || board.Leaving(t.Run()) {
+			continue
+		}
+		list = append(list, t)
+		if until := board.PausedUntil(now, t.Run()); !until.IsZero() {
+			pauses[t.ID] = until
 		}
 	}
-	return inShard
+	s.SetTargets(now, list)
+	s.SetPauses(pauses)
+}
+
+// recorder returns the function that records what a target says of itself.
+func (d *Dispatcher) recorder(t notice.Target) notice.Recorder {
+	return func(list []notice.Notice, err error) { d.cfg.Notices.Record(d.cfg.Now(), t, list, err) }
 }
 
 // Refresh updates every scheduler that has queued pieces after the registry or the space of targets has changed.
@@ -279,7 +289,7 @@
 			continue
 		}
 		if profile, ok := d.batchProfile(s.service); ok {
-			s.SetTargets(now, d.targets(s))
+			d.updateTargets(now, s)
 			d.probeTargets(now, s, profile)
 			d.startCalls(now, s, profile)
 		}
@@ -359,7 +369,7 @@
 func (d *Dispatcher) probe(s *shardScheduler, profile route.BatchProfile, t registry.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	space, err := d.cfg.Targets.AvailableSpace(ctx, t)
+	space, err := d.cfg.Targets.AvailableSpace(ctx, t, d.recorder(t.Run()))
 	now := d.cfg.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/wire/dispatch/dispatcher_test.go
+++ b/internal/wire/dispatch/dispatcher_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 )
@@ -35,7 +36,7 @@
 	startedAt time.Time
 }
 
-func (f *fakeTargets) RunBatch(_ context.Context, now time.Time, t registry.Target, profile route.BatchProfile, pieces []batch.Piece) (batch.Reply, error) {
+func (f *fakeTargets) RunBatch(_ context.Context, now time.Time, t registry.Target, profile route.BatchProfile, pieces []batch.Piece, _ notice.Recorder) (batch.Reply, error) {
 	f.mu.Lock()
 	f.calls = append(f.calls, recordedCall{target: t.ID, pieces: append([]batch.Piece(nil), pieces...), startedAt: now})
 	n := len(f.calls)
@@ -61,14 +62,14 @@
 }
 
 // AvailableSpace reports that all result space is free, or what space returns.
-func (f *fakeTargets) AvailableSpace(context.Context, registry.Target) (batch.Space, error) {
+func (f *fakeTargets) AvailableSpace(context.Context, registry.Target, notice.Recorder) (batch.Space, error) {
 	if f.space != nil {
 		return f.space()
 	}
 	return batch.Space{Min: testProfile.ResultSpace, Max: testProfile.ResultSpace}, nil
 }
 
-func (f *fakeTargets) Free(_ context.Context, _ string, handles []string) error {
+func (f *fakeTargets) Free(_ context.Context, _ string, handles []string, _ notice.Recorder) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.freed = append(f.freed, handles...)
@@ -91,11 +92,17 @@
 	ready := make(chan struct{})
 	close(ready)
 	return New(Config{
-		Targets: f, Table: func() *route.Table { return table }, Ready: ready, Registry: func() *registry.Registry { return r }, Log: log, Meter: noMeter{}, Now: time.Now,
+		Targets: f, Table: func() *route.Table { return table }, Ready: ready, Registry: func() *registry.Registry { return r }, Notices: newTestKeeper(), Log: log, Meter: noMeter{}, Now: time.Now,
 		AllowRetry: func(time.Time, string) bool { return true }, RecordFirstSend: func(time.Time, string) {},
 	})
 }
 
+func newTestKeeper() *notice.Keeper {
+	return notice.NewKeeper(notice.KeeperConfig{
+		OnNotice: func(time.Time, notice.Target, notice.Notice, notice.Source) {}, OnInvalid: func(notice.Target, error) {},
+	})
+}
+
 type noMeter struct{}
 
 func (noMeter) RecordStageCall(string, string, int, int, time.Duration) {}
--- a/internal/wire/dispatch/server.go
+++ b/internal/wire/dispatch/server.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/dispatch/deskpb"
 )
@@ -38,11 +39,14 @@
 	if err := s.dispatcher.awaitConfig(out.Context()); err != nil {
 		return out.Send(&deskpb.Progress{State: string(stateDeclined)})
 	}
-	g := fromMessage(s.dispatcher.cfg.Now(), m)
+	now := s.dispatcher.cfg.Now()
+	notices := s.dispatcher.cfg.Notices
+	notices.Learn(now, fromRuns(m.Leaving))
+	g := fromMessage(now, m)
 	// Send errors are ignored: a disconnected caller ends the stream's context.
 	results, err := s.dispatcher.Produce(out.Context(), g, Callbacks{
 		OnQueued: func(wait time.Duration) {
-			_ = out.Send(&deskpb.Progress{State: string(stateQueued), WaitUs: wait.Microseconds()})
+			_ = out.Send(&deskpb.Progress{State: string(stateQueued), WaitUs: wait.Microseconds(), Leaving: toRuns(notices.Board().News(now))})
 		},
 		OnInputsFetched: func() { _ = out.Send(&deskpb.Progress{State: string(stateInputsFetched)}) },
 		OnHeartbeat:     func() { _ = out.Send(&deskpb.Progress{State: string(stateHeartbeat)}) },
@@ -54,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	p := &deskpb.Progress{State: string(stateDone)}
+	p := &deskpb.Progress{State: string(stateDone), Leaving: toRuns(notices.Board().News(s.dispatcher.cfg.Now()))}
 	for _, x := range results {
 		p.Results = append(p.Results, &deskpb.Result{Handle: x.Handle, Reason: string(x.Reason), Datacentre: x.Datacentre})
 	}
@@ -67,6 +71,22 @@
 	return &deskpb.Freed{}, nil
 }
 
+func toRuns(list []notice.Target) []*deskpb.Run {
+	var runs []*deskpb.Run
+	for _, t := range list {
+		runs = append(runs, &deskpb.Run{Target: t.ID, Started: t.StartedAt})
+	}
+	return runs
+}
+
+func fromRuns(runs []*deskpb.Run) []notice.Target {
+	var list []notice.Target
+	for _, r := range runs {
+		list = append(list, notice.Target{ID: r.Target, StartedAt: r.Started})
+	}
+	return list
+}
+
 func toMessage(now time.Time, g batch.Group) *deskpb.Group {
 	return &deskpb.Group{
 		Service: g.Service, Shard: g.Datacentre, Request: g.Request, Stage: int32(g.Stage), Count: int32(g.Count), Key: g.PieceKey,
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -54,9 +54,13 @@
 		if rs.sends >= rs.route.MaxAttempts || (rs.mayHaveRun && !rs.route.IsRetryable()) {
 			return fallback
 		}
-		c, ok := g.pickTarget(now, rs, tried)
-		if !ok {
-			return fallback
+		c, wait := g.pickTarget(now, rs, tried)
+		switch {
+		case c == nil && wait.IsZero():
+			return g.withReturnTime(now, rs, fallback)
+		case c == nil:
+			sleepUntil(ctx, now, wait)
+			continue
 		}
 		t := c.Target
 		if rs.sends > 0 && !g.AllowRetry(now, rs.service.Name) {
@@ -66,7 +70,7 @@
 			return fallback
 		}
 		tried[t.ID] = true
-		g.logPicked(now, rs, c, len(tried))
+		g.logPicked(now, rs, *c, len(tried))
 		result := g.send(ctx, r, rs, rw, t)
 		g.cfg.Meter.RecordSend(rs.service.Name, result.label(), g.cfg.Now().Sub(now))
 		if result.countsAsAttempt || result.final != nil {
@@ -94,8 +98,8 @@
 }
 
 // balancerRequest returns the balancer's view of a request.
-func (g *Gateway) balancerRequest(rs *requestState) balancer.Request {
-	req := balancer.Request{LocalDatacentre: g.cfg.Datacentre, PromptTokens: rs.Prompt.InputTokens}
+func (g *Gateway) balancerRequest(now time.Time, rs *requestState) balancer.Request {
+	req := balancer.Request{LocalDatacentre: g.cfg.Datacentre, PromptTokens: rs.Prompt.InputTokens, StartBy: g.startBy(now, rs)}
 	if rs.route.CarriesPrompt {
 		req.AffinityKey, req.SharedTokens = rs.Prompt.SharedPrefix()
 	}
@@ -104,19 +108,63 @@
 
 // likelyDatacentre returns the data centre in which the target of a request is likely to be.
 func (g *Gateway) likelyDatacentre(now time.Time, rs *requestState) string {
-	candidates := balancer.Order(now, g.balancerRequest(rs), g.loads.candidates(now, g.cfg.Registry().Usable(rs.service.Name), nil))
+	candidates := balancer.Order(now, g.balancerRequest(now, rs), g.loads.candidates(now, g.cfg.Registry().Usable(rs.service.Name), nil, g.cfg.Notices.Board()))
 	if len(candidates) == 0 {
 		return ""
 	}
 	return candidates[0].Target.Datacentre
 }
 
-// pickTarget chooses a target and counts the request there.
-func (g *Gateway) pickTarget(now time.Time, rs *requestState, tried map[string]bool) (balancer.Candidate, bool) {
+// lateWait is how long a request that misses its latency objective anyway may wait for a target.
+const lateWait = 300 * time.Millisecond
+
+// startBy returns until when a request may wait for a target.
+func (g *Gateway) startBy(now time.Time, rs *requestState) time.Time {
+	by := rs.objective
+	if late := now.Add(lateWait); by.Before(late) {
+		by = late
+	}
+	if rs.firstByteBy.Before(by) {
+		by = rs.firstByteBy
+	}
+	return by.Add(-g.firstByteTime(rs))
+}
+
+func sleepUntil(ctx context.Context, now, until time.Time) {
+	timer := time.NewTimer(until.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// withReturnTime returns a refusal with the time after which a target takes requests again, if all of them are paused.
+func (g *Gateway) withReturnTime(now time.Time, rs *requestState, o *outcome) *outcome {
+	if o.kind != refused {
+		return o
+	}
+	p := balancer.Place(now, balancer.Request{}, g.loads.candidates(now, g.cfg.Registry().Usable(rs.service.Name), nil, g.cfg.Notices.Board()), len(g.cfg.Registry().NodeNames()))
+	if r, ok := p.(balancer.Reject); ok && r.RetryAfter > 0 {
+		return refusal(causeBusy, "targets take no more requests now", r.RetryAfter)
+	}
+	return o
+}
+
+// pickTarget chooses a target and counts the request there, or returns when to try again, or neither.
+func (g *Gateway) pickTarget(now time.Time, rs *requestState, tried map[string]bool) (c *balancer.Candidate, wait time.Time) {
 	reg := g.cfg.Registry()
-	req := g.balancerRequest(rs)
-	candidates := g.loads.candidates(now, reg.Usable(rs.service.Name), tried)
-	for _, c := range balancer.Order(now, req, candidates) {
+	candidates := g.loads.candidates(now, reg.Usable(rs.service.Name), tried, g.cfg.Notices.Board())
+	var order []balancer.Candidate
+	switch p := balancer.Place(now, g.balancerRequest(now, rs), candidates, len(reg.NodeNames())).(type) {
+	case balancer.Send:
+		order = p.Targets
+	case balancer.Wait:
+		return nil, p.Until
+	case balancer.Reject:
+		return nil, time.Time{}
+	}
+	for _, c := range order {
 		share := 0
 		if c.Target.Cold(now) {
 			limit := rs.service.ColdRateLimit*g.cfg.ColdLimit.Factor + g.cfg.ColdLimit.Extra
@@ -126,10 +174,10 @@
 			}
 		}
 		if g.loads.start(now, c.Target, rs.Prompt.InputTokens, share) {
-			return c, true
+			return &c, time.Time{}
 		}
 	}
-	return balancer.Candidate{}, false
+	return nil, time.Time{}
 }
 
 // logPicked logs the chosen target and the state that led to the choice.
@@ -204,6 +252,7 @@
 		return g.sendFailure(ctx, r, rs, rw, t, err)
 	}
 	defer resp.Body.Close()
+	g.recordNotices(t, resp)
 	rw.onFirstByte = func() {
 		markPromptRead()
 		g.recordFirstByte(rs, g.cfg.Now().Sub(started))
@@ -222,6 +271,17 @@
 	return result
 }
 
+// recordNotices records what a response says of its target. A target at the address of another one speaks for itself only.
+func (g *Gateway) recordNotices(t registry.Target, resp *connection.Response) {
+	if resp.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	list, err := g.cfg.Headers.ParseNotices(resp.Status, resp.Header)
+	if len(list) > 0 || err != nil {
+		g.cfg.Notices.Record(g.cfg.Now(), t.Run(), list, err)
+	}
+}
+
 func (g *Gateway) logFailedAttempt(rs *requestState, t registry.Target, status int, flags call.ResponseFlags, received receivedBody, result sendResult, backoff time.Duration) {
 	out := result.fallback
 	if out == nil {
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/budget"
@@ -38,6 +39,8 @@
 	ForwardHeader(c call.Call, o call.ForwardOptions) http.Header
 	// ParseResponseFlags reads what a response header says about the call with an ID.
 	ParseResponseFlags(id string, status int, h http.Header) call.ResponseFlags
+	// ParseNotices reads what a response header says about its target; the error describes a value that cannot be used.
+	ParseNotices(status int, h http.Header) ([]notice.Notice, error)
 }
 
 // Meter records the metrics of a gateway.
@@ -60,6 +63,7 @@
 	Dispatch    *dispatch.Client
 	Table       func() *route.Table
 	Registry    func() *registry.Registry
+	Notices     *notice.Keeper
 	RetryBudget settings.RetryBudget
 	ColdLimit   settings.ColdLimit
 	Log         logrus.FieldLogger
--- a/internal/wire/gateway/load.go
+++ b/internal/wire/gateway/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/coldstart"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/balancer"
 )
@@ -44,16 +45,16 @@
 	return x
 }
 
-// candidates combines targets with their known load.
-func (l targetLoads) candidates(now time.Time, targets []registry.Target, tried map[string]bool) []balancer.Candidate {
+// candidates combines targets with their known load; those that have been tried or said that they leave are left out.
+func (l targetLoads) candidates(now time.Time, targets []registry.Target, tried map[string]bool, board notice.Board) []balancer.Candidate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var list []balancer.Candidate
 	for _, t := range targets {
-		if tried[t.ID] {
+		if tried[t.ID] || board.Leaving(t.Run()) {
 			continue
 		}
-		c := balancer.Candidate{Target: t}
+		c := balancer.Candidate{Target: t, PausedUntil: board.PausedUntil(now, t.Run()), Recovering: board.Recovering(now, t.Run())}
 		if x, ok := l.byID[t.ID]; ok {
 			c.Running, c.PendingTokens, c.InBackoff = x.running, x.pendingTokens, now.Before(x.backoffUntil)
 		}
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -46,6 +46,7 @@
 	causeInputLost cause = "lost"
 	// The result of the last send.
 	causeNoTarget    cause = "notarget"
+	causeBusy        cause = "busy"
 	causeUnreachable cause = "unreached"
 	causeNotRun      cause = "notrun"
 	causeNoResponse  cause = "silent"
