Follow a store that comes back from an older copy by its era

Cause: after a restore the store gives revisions out again. A watch from a revision that exists once more misses what was written before it; a conditional write may meet another object's content under its own revision; entries of targets that have left come back; lost ones drop out of use; lists that were answered before the restore are taken for new. Change: object.Version holds the era and the revision, ordered by era first. The product's own platform (ledger, leases, releases) does not know eras yet.

--- a/cmd/lacewingdrift/objects.go
+++ b/cmd/lacewingdrift/objects.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/edit"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/operatorapi"
 )
 
@@ -81,7 +82,7 @@
 			if !json.Valid(value) {
 				return merry.Errorf("%s: is not valid JSON", file)
 			}
-			o, err := cl.put(args[0], args[1], operatorapi.PutRequest{Version: version, Value: value, Reason: reason})
+			o, err := cl.put(args[0], args[1], operatorapi.PutRequest{Version: object.Version(version), Value: value, Reason: reason})
 			if err != nil {
 				return err
 			}
--- a/internal/bench/testbed/platformlink.go
+++ b/internal/bench/testbed/platformlink.go
@@ -81,7 +81,7 @@
 }
 
 // Put writes an object by conditional update.
-func (l *PlatformLink) Put(ctx context.Context, kind, name string, version uint64, value any) (object.Object, error) {
+func (l *PlatformLink) Put(ctx context.Context, kind, name string, version object.Version, value any) (object.Object, error) {
 	ctx, cancel, err := l.begin(ctx)
 	if err != nil {
 		return object.Object{}, err
@@ -91,7 +91,7 @@
 }
 
 // Delete removes an object by conditional update.
-func (l *PlatformLink) Delete(ctx context.Context, kind, name string, version uint64) error {
+func (l *PlatformLink) Delete(ctx context.Context, kind, name string, version object.Version) error {
 	ctx, cancel, err := l.begin(ctx)
 	if err != nil {
 		return err
@@ -101,7 +101,7 @@
 }
 
 // Watch watches a kind of object for changes.
-func (l *PlatformLink) Watch(ctx context.Context, kind string, version uint64, handle func(object.Event)) error {
+func (l *PlatformLink) Watch(ctx context.Context, kind string, version object.Version, handle func(object.Event)) error {
 	ctx, cancel, err := l.begin(ctx)
 	if err != nil {
 		return err
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -1,6 +1,10 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
+)
 
 // Kind is the platform's object kind of a lease.
 const Kind = "lease"
@@ -41,7 +45,7 @@
 type Lease struct {
 	Generation uint64
 	// Version is the lease object's version as of the last renewal.
-	Version uint64
+	Version object.Version
 	// ExpiresAt is when the last renewal expires, counted from before its call was sent.
 	ExpiresAt time.Time
 	// Revoked is set once a renewal was refused, which ends the generation.
@@ -54,7 +58,7 @@
 }
 
 // Renewed returns the lease after a renewal whose call was sent at sent.
-func (l Lease) Renewed(sent time.Time, version uint64, t Terms) Lease {
+func (l Lease) Renewed(sent time.Time, version object.Version, t Terms) Lease {
 	l.Version = version
 	until := sent.Add(t.Duration)
 	if until.After(l.ExpiresAt) {
@@ -71,12 +75,12 @@
 
 // Observation is a peer's view of another node's lease object.
 type Observation struct {
-	Version        uint64
+	Version        object.Version
 	UnchangedSince time.Time
 }
 
 // Observed returns the observation after the lease object was read with version at now.
-func (o Observation) Observed(version uint64, now time.Time) Observation {
+func (o Observation) Observed(version object.Version, now time.Time) Observation {
 	if o.Version == version && !o.UnchangedSince.IsZero() {
 		return o
 	}
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 )
 
 // TestLeaseExpiresBeforeTakeover lets a holder renew, pause and lose responses at random while a peer whose
@@ -16,7 +18,7 @@
 		rate := 1 + rapid.Float64Range(-0.015, 0.015).Draw(t, "rate")
 		base := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 		holder := Lease{Generation: 1}
-		version := uint64(1)
+		version := object.Version(1)
 		holder = holder.Renewed(base, version, terms)
 		observation := Observation{}
 		isTakenOver := false
--- a/internal/fleet/node/membership.go
+++ b/internal/fleet/node/membership.go
@@ -71,7 +71,7 @@
 }
 
 // awaitLeaseExpiry returns once the lease has been observed without a renewal for long enough to have expired.
-func (n *Node) awaitLeaseExpiry(ctx context.Context, name string, version uint64) error {
+func (n *Node) awaitLeaseExpiry(ctx context.Context, name string, version object.Version) error {
 	observed := lease.Observation{}.Observed(version, n.cfg.Now())
 	for !observed.Expired(n.cfg.Now(), n.leaseTerms) {
 		sleep(ctx, n.cfg.Settings.Timing.Heartbeat.Duration())
@@ -91,7 +91,7 @@
 }
 
 // readLease returns a node's lease record and its version; version 0 means that there is none.
-func (n *Node) readLease(ctx context.Context, name string) (lease.Record, uint64, error) {
+func (n *Node) readLease(ctx context.Context, name string) (lease.Record, object.Version, error) {
 	o, err := n.cfg.Platform.Get(ctx, lease.Kind, name)
 	if errors.Is(err, object.ErrNotFound) {
 		return lease.Record{}, 0, nil
@@ -119,7 +119,7 @@
 func (n *Node) publishMember(m member.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), backgroundTimeout)
 	defer cancel()
-	version := uint64(0)
+	version := object.Version(0)
 	for range 3 {
 		_, err := n.cfg.Platform.Put(ctx, member.Kind, m.Name, version, m)
 		var conflict *object.ConflictError
--- a/internal/fleet/node/ownership.go
+++ b/internal/fleet/node/ownership.go
@@ -122,7 +122,7 @@
 	return version == 0 || l.Generation > r.Generation || (l.Generation == r.Generation && l.State == lease.Ended)
 }
 
-func (n *Node) readOwner(ctx context.Context, name string) (owner.Record, uint64, error) {
+func (n *Node) readOwner(ctx context.Context, name string) (owner.Record, object.Version, error) {
 	o, err := n.cfg.Platform.Get(ctx, owner.Kind, name)
 	if errors.Is(err, object.ErrNotFound) {
 		return owner.Record{}, 0, nil
--- a/internal/fleet/node/witness.go
+++ b/internal/fleet/node/witness.go
@@ -9,6 +9,7 @@
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/lease"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/member"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/peer/peerpb"
 )
 
@@ -126,7 +127,7 @@
 
 // beginEnding records the observed version of a lease and reports whether the lease may be ended now; if so, this node
 // no longer vouches for it.
-func (w *witnessState) beginEnding(now time.Time, name string, generation, version uint64, t lease.Terms) bool {
+func (w *witnessState) beginEnding(now time.Time, name string, generation uint64, version object.Version, t lease.Terms) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.observations[name] = w.observations[name].Observed(version, now)
@@ -280,7 +281,7 @@
 }
 
 // replaceWitnesses makes this node the witness of an unresponsive node if the leases of all its witnesses have ended.
-func (n *Node) replaceWitnesses(ctx context.Context, name string, r lease.Record, version uint64) {
+func (n *Node) replaceWitnesses(ctx context.Context, name string, r lease.Record, version object.Version) {
 	for _, witness := range r.Witnesses {
 		w, witnessVersion, err := n.readLease(ctx, witness)
 		if err != nil || (witnessVersion != 0 && w.State == lease.Held) {
--- a/internal/fleet/node/witness_test.go
+++ b/internal/fleet/node/witness_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/lease"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 )
 
 // TestLeaseExpiresBeforeWitnessEndsIt lets a holder renew at the platform or by its witness's vouching while calls
@@ -16,13 +17,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		terms := lease.Terms{Duration: 6 * time.Second, DriftPercent: 2}
 		now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-		version, ended := uint64(1), false
+		version, ended := object.Version(1), false
 		holder := lease.Lease{Generation: 1}.Renewed(now, version, terms)
 		witness := &witnessState{}
 		witness.init(now)
 		// pending is the version on which the witness's write is conditional, 0 if no write is in flight; the
 		// write takes effect within the takeover wait or not at all.
-		pending, pendingUntil := uint64(0), time.Time{}
+		pending, pendingUntil := object.Version(0), time.Time{}
 		for range rapid.IntRange(5, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(10, 2500).Draw(t, "step")) * time.Millisecond)
 			if pending != 0 && !now.Before(pendingUntil) {
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -1,11 +1,14 @@
 package registry
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sort"
 	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 )
 
 // State is a target's state as reported by the target.
@@ -27,8 +30,10 @@
 	Slots      int
 	// StartedAt is the start time of the target as reported by it.
 	StartedAt int64
+	// Beat rises each time that the target writes its entry in one run, 0 if it does not tell.
+	Beat int64
 	// Version is the version of the store entry that the target was read from.
-	Version uint64
+	Version object.Version
 	// ColdUntil is when the target becomes warm, by the clock of this node.
 	ColdUntil time.Time
 }
@@ -36,6 +41,12 @@
 // Run returns the run of the target that the entry describes.
 func (t Target) Run() notice.Target { return notice.Target{ID: t.ID, StartedAt: t.StartedAt} }
 
+// isRestored reports whether the entry is a known one, or an earlier one of the same run, that came back with an older copy
+// of the store.
+func (t Target) isRestored(known Target) bool {
+	return t.Version.Era() > known.Version.Era() && t.Run() == known.Run() && t.StartedAt != 0 && t.Beat != 0 && t.Beat <= known.Beat
+}
+
 // Cold reports whether the target is cold at now.
 func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
@@ -54,7 +65,9 @@
 type Registry struct {
 	targets map[string]Target
 	// heldUntil holds, for each target whose entry was removed but may return, when it goes out of use.
-	heldUntil    map[string]time.Time
+	heldUntil map[string]time.Time
+	// gone holds the last entries of removed targets, which an older copy of the store may bring back.
+	gone         map[string]Target
 	outOfService map[string]bool
 	nodes        map[string]Node
 	// usable holds, by service, the targets that may be sent work; atAddress holds the targets by address.
@@ -84,33 +97,59 @@
 }
 
 func (r *Registry) copy() *Registry {
-	return &Registry{targets: maps.Clone(r.targets), heldUntil: maps.Clone(r.heldUntil), outOfService: r.outOfService, nodes: r.nodes, nodeNames: r.nodeNames}
+	return &Registry{targets: maps.Clone(r.targets), heldUntil: maps.Clone(r.heldUntil), gone: maps.Clone(r.gone), outOfService: r.outOfService, nodes: r.nodes, nodeNames: r.nodeNames}
 }
 
 // WithTargets returns the registry with exactly these targets. An unchanged entry keeps its cold time, which counts from
-// when it was first seen. Known ready targets that are missing from the list stay in use until hold, if it is not zero.
+// when it was first seen. An entry that only an older copy of the store has brought back says nothing new: its target stays
+// as it was known, or gone. Known ready targets that are missing from the list stay in use until hold, if it is not zero.
 func (r *Registry) WithTargets(list []Target, hold time.Time) *Registry {
 	n := r.copy()
 	n.targets = make(map[string]Target, len(list))
 	n.heldUntil = map[string]time.Time{}
 	for _, t := range list {
-		if old, ok := r.targets[t.ID]; ok && old.Version == t.Version {
+		if gone, ok := r.gone[t.ID]; ok && t.isRestored(gone) {
+			continue
+		}
+		if old, ok := r.targets[t.ID]; ok && (old.Version == t.Version || t.isRestored(old)) {
 			t = old
 		}
 		n.targets[t.ID] = t
 	}
-	if hold.IsZero() {
-		return n.indexed()
-	}
 	for id, t := range r.targets {
-		if _, ok := n.targets[id]; !ok && t.State == Ready {
+		switch _, ok := n.targets[id]; {
+		case ok:
+		case !hold.IsZero() && t.State == Ready:
 			n.targets[id] = t
 			n.heldUntil[id] = hold
+		default:
+			n.remember(t)
 		}
 	}
 	return n.indexed()
 }
 
+// maxGone bounds the removed targets that are remembered: those of the latest minutes of a large fleet.
+const maxGone = 1000
+
+// remember keeps the entry of a target that is removed from the registry under construction.
+func (r *Registry) remember(t Target) {
+	if t.ID == "" {
+		return
+	}
+	if r.gone == nil {
+		r.gone = map[string]Target{}
+	}
+	r.gone[t.ID] = t
+	if len(r.gone) <= 2*maxGone {
+		return
+	}
+	ids := slices.SortedFunc(maps.Keys(r.gone), func(a, b string) int { return cmp.Compare(r.gone[b].Version, r.gone[a].Version) })
+	for _, id := range ids[maxGone:] {
+		delete(r.gone, id)
+	}
+}
+
 // Change is one change of the registry's targets.
 type Change interface{ change() }
 
@@ -146,6 +185,7 @@
 			n.targets[c.Target.ID] = c.Target
 			delete(n.heldUntil, c.Target.ID)
 		case Removed:
+			n.remember(n.targets[c.ID])
 			delete(n.targets, c.ID)
 			delete(n.heldUntil, c.ID)
 		case Held:
@@ -160,6 +200,7 @@
 	n := r.copy()
 	for id, until := range n.heldUntil {
 		if !now.Before(until) {
+			n.remember(n.targets[id])
 			delete(n.targets, id)
 			delete(n.heldUntil, id)
 		}
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -113,7 +113,7 @@
 	}
 }
 
-func list(version uint64, objects string) object.List {
+func list(version object.Version, objects string) object.List {
 	l := object.List{Version: version}
 	for _, f := range strings.Fields(objects) {
 		var o object.Object
--- a/internal/operator/edit/edit.go
+++ b/internal/operator/edit/edit.go
@@ -25,7 +25,7 @@
 type Object struct {
 	Kind    string          `json:"kind"`
 	Name    string          `json:"name"`
-	Version uint64          `json:"version"`
+	Version object.Version  `json:"version"`
 	Value   json.RawMessage `json:"value"`
 	Change  audit.Record    `json:"change"`
 }
@@ -61,7 +61,7 @@
 	Kind string
 	Name string
 	// Version is the version that the edit is based on, 0 for a new object.
-	Version  uint64
+	Version  object.Version
 	Value    json.RawMessage
 	Operator string
 	Reason   string
--- a/internal/operator/edit/edit_test.go
+++ b/internal/operator/edit/edit_test.go
@@ -24,7 +24,7 @@
 	}
 }
 
-func teamEdit(version uint64, weight int) Edit {
+func teamEdit(version object.Version, weight int) Edit {
 	return Edit{Kind: "team", Name: "keepers", Version: version, Value: json.RawMessage(fmt.Sprintf(`{"name":"keepers","weight":%d}`, weight)), Operator: "rosa"}
 }
 
@@ -102,14 +102,14 @@
 
 type failingStore struct{ *store.Store }
 
-func (f failingStore) Put(context.Context, string, string, uint64, any) (o object.Object, err error) {
+func (f failingStore) Put(context.Context, string, string, object.Version, any) (o object.Object, err error) {
 	return o, errors.New("platform is down")
 }
 
 func TestDeleteRejectsUsedObject(t *testing.T) {
 	e := newEditor(store.New())
 	ctx := t.Context()
-	put := func(kind, name, value string) uint64 {
+	put := func(kind, name, value string) object.Version {
 		t.Helper()
 		o, err := e.Put(ctx, Edit{Kind: kind, Name: name, Value: json.RawMessage(value), Operator: "rosa"})
 		if err != nil {
@@ -157,7 +157,7 @@
 
 func TestTrimKeepsLatestRecords(t *testing.T) {
 	e := newEditor(store.New())
-	version := uint64(0)
+	version := object.Version(0)
 	for i := range 12 {
 		o, err := e.Put(t.Context(), teamEdit(version, i+1))
 		if err != nil {
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -78,13 +78,12 @@
 	internalServers []*http.Server
 	draining        atomic.Bool
 	cancel          context.CancelFunc
-	registered      chan object.Object
 }
 
 // Start opens the node's listeners and starts to follow the store.
 func Start(cfg Config) (*Node, error) {
 	cfg.Log = cfg.Log.WithField("node", cfg.Settings.Name)
-	n := &Node{cfg: cfg, view: newFleetView(cfg, cfg.Meter), meter: cfg.Meter, registered: make(chan object.Object, 1)}
+	n := &Node{cfg: cfg, view: newFleetView(cfg, cfg.Meter), meter: cfg.Meter}
 	n.build()
 	if err := n.listen(); err != nil {
 		return nil, merry.Prepend(err, "start")
@@ -210,17 +209,30 @@
 	}
 }
 
-// register writes the node's entry, replacing that of an earlier run.
+// register writes the node's entry, and again whenever the store has lost it.
 func (n *Node) register(ctx context.Context) {
 	s := n.cfg.Settings
 	self := registry.Node{Name: s.Name, Address: s.PeerAddress, Datacentre: s.Datacentre, StartedAt: n.cfg.Now().UnixMilli(), LinkMbps: s.LinkMbps}
+	for ctx.Err() == nil {
+		n.writeEntry(ctx, self)
+		select {
+		case <-ctx.Done():
+		case <-n.view.entryLost:
+			n.cfg.Log.Warn("node: the store has lost the node's entry, writing it again")
+		}
+	}
+}
+
+// writeEntry writes the node's entry, replacing that of an earlier run.
+func (n *Node) writeEntry(ctx context.Context, self registry.Node) {
+	s := n.cfg.Settings
 	version := n.view.nodeEntryVersion(ctx, s.Name)
 	for ctx.Err() == nil {
 		o, err := n.cfg.Store.Put(ctx, n.cfg.Platform.NodeKind, s.Name, version, n.cfg.Platform.NodeEntry(self))
 		var conflict *object.ConflictError
 		switch {
 		case err == nil:
-			n.registered <- o
+			n.view.ownEntry.Store(&ownEntry{version: o.Version, startedAt: self.StartedAt})
 			return
 		case errors.As(err, &conflict):
 			version = conflict.Current.Version
@@ -239,14 +251,23 @@
 
 // deregister removes the node's entry, so that no other node sends work to its dispatcher.
 func (n *Node) deregister() {
-	select {
-	case o := <-n.registered:
-		ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
-		defer cancel()
-		if err := n.cfg.Store.Delete(ctx, o.Kind, o.Name, o.Version); err != nil {
-			n.cfg.Log.WithError(err).Warn("node: removing the node's entry failed")
+	own := n.view.ownEntry.Swap(nil)
+	if own == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
+	defer cancel()
+	kind, name := n.cfg.Platform.NodeKind, n.cfg.Settings.Name
+	err := n.cfg.Store.Delete(ctx, kind, name, own.version)
+	var conflict *object.ConflictError
+	if errors.As(err, &conflict) {
+		// The store has come back from an older copy since, and has this entry or that of an earlier run at another version.
+		if current, parseErr := n.cfg.Platform.ParseNode(conflict.Current); parseErr == nil && current.StartedAt <= own.startedAt {
+			err = n.cfg.Store.Delete(ctx, kind, name, conflict.Current.Version)
 		}
-	default:
+	}
+	if err != nil {
+		n.cfg.Log.WithError(err).Warn("node: removing the node's entry failed")
 	}
 }
 
--- a/internal/operator/gatewaynode/objects.go
+++ b/internal/operator/gatewaynode/objects.go
@@ -29,7 +29,7 @@
 	}
 	t, violations, err := v.cfg.Platform.ParseTable(o.Value)
 	if err != nil {
-		v.cfg.Log.WithError(err).WithField("revision", o.Version).Error("configuration: cannot be parsed, the previous one stays in force")
+		v.cfg.Log.WithError(err).WithField("revision", o.Version.Revision()).Error("configuration: cannot be parsed, the previous one stays in force")
 		return
 	}
 	for _, violation := range violations {
@@ -45,7 +45,7 @@
 		close(v.tableLoaded)
 	}
 	v.meter.Gauge("configuration_version", float64(t.Version))
-	v.cfg.Log.WithFields(logrus.Fields{"version": t.Version, "revision": o.Version, "routes": t.RouteCount()}).Info("configuration: in force")
+	v.cfg.Log.WithFields(logrus.Fields{"version": t.Version, "revision": o.Version.Revision(), "era": o.Version.Era(), "routes": t.RouteCount()}).Info("configuration: in force")
 }
 
 func (v *fleetView) replaceTargets(l object.List) {
@@ -64,7 +64,7 @@
 	v.updateRegistry(func(r *registry.Registry) *registry.Registry { return r.WithTargets(list, hold) })
 	v.scheduleExpiry(now, hold)
 	v.targetsListed.Store(true)
-	v.cfg.Log.WithFields(logrus.Fields{"targets": len(list), "revision": l.Version}).Info("fleet: targets listed")
+	v.cfg.Log.WithFields(logrus.Fields{"targets": len(list), "revision": l.Version.Revision()}).Info("fleet: targets listed")
 }
 
 // coalesceWindow is how long changes of targets are collected before the registry is rebuilt: much less than the time in
@@ -133,11 +133,11 @@
 		return registry.Removed{ID: id}
 	}
 	if t.Cold(now) && !before.Cold(now) {
-		v.cfg.Log.WithFields(logrus.Fields{"target": id, "cold_ms": t.ColdUntil.Sub(now).Milliseconds(), "revision": e.Object.Version}).Info("fleet: target gets cold")
+		v.cfg.Log.WithFields(logrus.Fields{"target": id, "cold_ms": t.ColdUntil.Sub(now).Milliseconds(), "revision": e.Object.Version.Revision()}).Info("fleet: target gets cold")
 	}
 	if !known || before.State != t.State || before.Address != t.Address || before.StartedAt != t.StartedAt {
 		v.cfg.Log.WithFields(logrus.Fields{
-			"target": id, "service": t.Service, "state": string(t.State), "address": t.Address, "revision": e.Object.Version,
+			"target": id, "service": t.Service, "state": string(t.State), "address": t.Address, "revision": e.Object.Version.Revision(),
 			"cold_ms": max(0, t.ColdUntil.Sub(now).Milliseconds()),
 		}).Info("fleet: target changed")
 	}
@@ -151,7 +151,7 @@
 		return nil
 	}
 	v.cfg.Log.WithFields(logrus.Fields{
-		"target": o.Name, "service": before.Service, "revision": o.Version, "held_ms": max(0, hold.Sub(now).Milliseconds()),
+		"target": o.Name, "service": before.Service, "revision": o.Version.Revision(), "held_ms": max(0, hold.Sub(now).Milliseconds()),
 	}).Info("fleet: target is gone")
 	if hold.IsZero() || before.State != registry.Ready {
 		return registry.Removed{ID: o.Name}
@@ -170,15 +170,19 @@
 }
 
 func (v *fleetView) logUnreadable(o object.Object, err error) {
-	v.cfg.Log.WithError(err).WithFields(logrus.Fields{"object": o.Kind + "/" + o.Name, "revision": o.Version}).Warn("store: object cannot be parsed, ignored")
+	v.cfg.Log.WithError(err).WithFields(logrus.Fields{"object": o.Kind + "/" + o.Name, "revision": o.Version.Revision()}).Warn("store: object cannot be parsed, ignored")
 }
 
 func (v *fleetView) replaceEvacuations(l object.List) {
 	v.mu.Lock()
+	former := v.outOfService
 	v.outOfService = map[string]bool{}
 	for _, o := range l.Items {
 		v.outOfService[o.Name] = true
 	}
+	if v.restored {
+		v.holdMissingEvacuations(former)
+	}
 	v.mu.Unlock()
 	v.setOutOfService(l.Version)
 }
@@ -194,7 +198,7 @@
 	v.setOutOfService(e.Object.Version)
 }
 
-func (v *fleetView) setOutOfService(version uint64) {
+func (v *fleetView) setOutOfService(version object.Version) {
 	v.mu.Lock()
 	names := make([]string, 0, len(v.outOfService))
 	for n := range v.outOfService {
@@ -202,14 +206,14 @@
 	}
 	v.mu.Unlock()
 	v.updateRegistry(func(r *registry.Registry) *registry.Registry { return r.WithOutOfService(names) })
-	v.cfg.Log.WithFields(logrus.Fields{"out": v.registry.Load().OutOfService(), "revision": version}).Info("fleet: data centres out of service")
+	v.cfg.Log.WithFields(logrus.Fields{"out": v.registry.Load().OutOfService(), "revision": version.Revision()}).Info("fleet: data centres out of service")
 }
 
 // entryWait is how long a node that starts waits for the list that shows whether it has an entry from an earlier run.
 const entryWait = 200 * time.Millisecond
 
 // nodeEntryVersion returns the version of a node's entry, 0 if none is known.
-func (v *fleetView) nodeEntryVersion(ctx context.Context, name string) uint64 {
+func (v *fleetView) nodeEntryVersion(ctx context.Context, name string) object.Version {
 	select {
 	case <-ctx.Done():
 	case <-v.nodesListed:
@@ -225,12 +229,19 @@
 
 func (v *fleetView) replaceNodes(l object.List) {
 	v.mu.Lock()
+	former := v.nodes
 	v.nodes = map[string]registry.Node{}
 	v.mu.Unlock()
 	for _, o := range l.Items {
 		v.addNode(o)
 	}
+	if v.restored {
+		v.mu.Lock()
+		v.holdMissingNodes(former)
+		v.mu.Unlock()
+	}
 	v.setNodes()
+	v.checkOwnEntry(l)
 	v.listOnce.Do(func() { close(v.nodesListed) })
 }
 
@@ -240,7 +251,7 @@
 		v.mu.Lock()
 		delete(v.nodes, e.Object.Name)
 		v.mu.Unlock()
-		v.cfg.Log.WithFields(logrus.Fields{"peer": e.Object.Name, "revision": e.Object.Version}).Info("fleet: node left")
+		v.cfg.Log.WithFields(logrus.Fields{"peer": e.Object.Name, "revision": e.Object.Version.Revision()}).Info("fleet: node left")
 	} else {
 		v.addNode(e.Object)
 	}
@@ -263,7 +274,7 @@
 	v.nodes[n.Name] = n
 	v.mu.Unlock()
 	if !known || before != n {
-		v.cfg.Log.WithFields(logrus.Fields{"peer": n.Name, "address": n.Address, "revision": o.Version}).Info("fleet: node joined")
+		v.cfg.Log.WithFields(logrus.Fields{"peer": n.Name, "address": n.Address, "revision": o.Version.Revision()}).Info("fleet: node joined")
 	}
 }
 
--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -129,7 +129,7 @@
 //
 // When all nodes of a fleet start, many objects change within a second, and most nodes are about to follow a relay, which
 // passes on what they miss. Until then only the nodes' entries are watched.
-func (s pausingStore) Watch(ctx context.Context, kind string, version uint64, handle func(object.Event)) error {
+func (s pausingStore) Watch(ctx context.Context, kind string, version object.Version, handle func(object.Event)) error {
 	mode, changed := s.source.state()
 	if mode == fromStart && kind != s.nodeKind {
 		select {
@@ -309,6 +309,7 @@
 	own := v.cached[kind].list()
 	v.mu.Unlock()
 	l = relay.MergeLists(own, l)
+	v.restored = v.noteEra(kind, l)
 	v.cacheList(kind, l)
 	update(l)
 }
@@ -321,7 +322,7 @@
 	var newer bool
 	if own := v.cached[kind]; own != nil {
 		o, ok := own.objects[e.Object.Name]
-		newer = ok && o.Version > e.Object.Version
+		newer = (ok && o.Version > e.Object.Version) || own.version.Era() > e.Object.Version.Era()
 	}
 	v.mu.Unlock()
 	if newer {
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -59,6 +59,8 @@
 	updateMu sync.Mutex
 	// pending holds the events of targets that are not in the registry yet.
 	pending []object.Event
+	// restored is set while a list is applied that is the first one after the store came back from an older copy.
+	restored bool
 
 	mu sync.Mutex
 	// outOfService and nodes hold the objects of the two kinds, by name; nodesChanged is set while changes of nodes are not
@@ -81,10 +83,14 @@
 	// broadcaster forwards changes to the nodes that use this one as their relay.
 	broadcaster snapshot.Broadcaster
 	source      *changeSource
+
+	// ownEntry is nil while the node has no entry; entryLost is sent to when the store has lost it.
+	ownEntry  atomic.Pointer[ownEntry]
+	entryLost chan struct{}
 }
 
 func newFleetView(cfg Config, m *metrics.Meter) *fleetView {
-	v := &fleetView{cfg: cfg, meter: m, tableLoaded: make(chan struct{}), nodesListed: make(chan struct{}), outOfService: map[string]bool{}, nodes: map[string]registry.Node{}, unavailableSince: map[string]time.Time{}, availableSince: map[string]time.Time{}, available: make(chan struct{}), cached: map[string]*cachedList{}, lastContact: map[string]time.Time{}, source: newChangeSource()}
+	v := &fleetView{cfg: cfg, meter: m, tableLoaded: make(chan struct{}), nodesListed: make(chan struct{}), outOfService: map[string]bool{}, nodes: map[string]registry.Node{}, unavailableSince: map[string]time.Time{}, availableSince: map[string]time.Time{}, available: make(chan struct{}), cached: map[string]*cachedList{}, lastContact: map[string]time.Time{}, source: newChangeSource(), entryLost: make(chan struct{}, 1)}
 	v.registry.Store(registry.New())
 	return v
 }
@@ -122,6 +128,7 @@
 func (v *fleetView) replace(kind string, l object.List, update func(object.List)) {
 	v.updateMu.Lock()
 	defer v.updateMu.Unlock()
+	v.restored = v.noteEra(kind, l)
 	v.cacheList(kind, l)
 	v.broadcaster.Publish(snapshot.Update{Lists: map[string]object.List{kind: l}})
 	update(l)
@@ -138,7 +145,7 @@
 
 // cachedList holds the objects read of one kind, as of a version.
 type cachedList struct {
-	version uint64
+	version object.Version
 	objects map[string]object.Object
 }
 
@@ -230,7 +237,7 @@
 		v.mu.Unlock()
 		if l, ok := lists[kind]; ok && !read {
 			h.replace(l)
-			v.cfg.Log.WithFields(logrus.Fields{"kind": kind, "from": from, "revision": l.Version, "objects": len(l.Items)}).Info("store: using another node's list")
+			v.cfg.Log.WithFields(logrus.Fields{"kind": kind, "from": from, "revision": l.Version.Revision(), "objects": len(l.Items)}).Info("store: using another node's list")
 		}
 	}
 }
--- a/internal/operator/publication/publication.go
+++ b/internal/operator/publication/publication.go
@@ -152,7 +152,7 @@
 }
 
 // CurrentHead reads the head and its version; number 0 and version 0 mean that nothing has been published yet.
-func (p Publisher) CurrentHead(ctx context.Context) (Head, uint64, error) {
+func (p Publisher) CurrentHead(ctx context.Context) (Head, object.Version, error) {
 	o, err := p.store().Get(ctx, release.HeadKind, release.HeadName)
 	if errors.Is(err, object.ErrNotFound) {
 		return Head{}, 0, nil
@@ -218,7 +218,7 @@
 }
 
 // replaceHead replaces the head; after a lost response it determines the result from the ID in the head.
-func (p Publisher) replaceHead(ctx context.Context, old Head, version uint64, chunks []string, rec audit.Record) (Head, error) {
+func (p Publisher) replaceHead(ctx context.Context, old Head, version object.Version, chunks []string, rec audit.Record) (Head, error) {
 	if err := p.recordHistory(ctx, old); err != nil {
 		return Head{}, err
 	}
@@ -237,7 +237,7 @@
 	return next, nil
 }
 
-func (p Publisher) resolveWrite(ctx context.Context, next Head, version uint64, err error) error {
+func (p Publisher) resolveWrite(ctx context.Context, next Head, version object.Version, err error) error {
 	current, currentVersion, readErr := p.CurrentHead(ctx)
 	switch {
 	case readErr != nil:
--- a/internal/platform/informer/informer.go
+++ b/internal/platform/informer/informer.go
@@ -34,7 +34,7 @@
 // Informer follows one kind of object.
 type Informer struct {
 	cfg     Config
-	version uint64
+	version object.Version
 	listed  bool
 }
 
--- a/internal/platform/informer/informer_test.go
+++ b/internal/platform/informer/informer_test.go
@@ -23,7 +23,7 @@
 	return object.List{Version: 1}, nil
 }
 
-func (s *flakyStore) Watch(ctx context.Context, _ string, _ uint64, _ func(object.Event)) error {
+func (s *flakyStore) Watch(ctx context.Context, _ string, _ object.Version, _ func(object.Event)) error {
 	if s.failures > 0 {
 		s.failures--
 		return errors.New("no answer")
--- a/internal/platform/object/client.go
+++ b/internal/platform/object/client.go
@@ -87,7 +87,7 @@
 }
 
 // Put writes value if the object still has the given version.
-func (c *Client) Put(ctx context.Context, kind, name string, version uint64, value any) (Object, error) {
+func (c *Client) Put(ctx context.Context, kind, name string, version Version, value any) (Object, error) {
 	body, err := json.Marshal(value)
 	if err != nil {
 		return Object{}, merry.Prependf(err, "put %s/%s", kind, name)
@@ -101,7 +101,7 @@
 }
 
 // Delete removes the object if it still has the given version.
-func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
+func (c *Client) Delete(ctx context.Context, kind, name string, version Version) error {
 	endpoint := fmt.Sprintf("%s?version=%d", c.objectURL(kind, name), version)
 	data, code, err := c.call(ctx, http.MethodDelete, endpoint, nil, 2*maxValueBytes)
 	_, err = decodeObject("delete", kind, name, data, code, err)
@@ -146,7 +146,7 @@
 }
 
 // Watch calls handle for each event after version until the watch fails or reaches its idle timeout.
-func (c *Client) Watch(ctx context.Context, kind string, version uint64, handle func(Event)) error {
+func (c *Client) Watch(ctx context.Context, kind string, version Version, handle func(Event)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	endpoint := fmt.Sprintf("%s/v1/watch/%s?from=%d", c.cfg.URL, url.PathEscape(kind), version)
--- a/internal/platform/object/object.go
+++ b/internal/platform/object/object.go
@@ -11,13 +11,13 @@
 type Object struct {
 	Kind    string          `json:"kind"`
 	Name    string          `json:"name"`
-	Version uint64          `json:"version"`
+	Version Version         `json:"version"`
 	Value   json.RawMessage `json:"value,omitempty"`
 }
 
 // List holds all objects of a kind at one version of the store.
 type List struct {
-	Version uint64   `json:"version"`
+	Version Version  `json:"version"`
 	Items   []Object `json:"items"`
 }
 
@@ -61,9 +61,9 @@
 	List(ctx context.Context, kind, prefix string) (List, error)
 	// Put writes value if the object still has version, where 0 means that it must not exist; the error is a
 	// *ConflictError otherwise.
-	Put(ctx context.Context, kind, name string, version uint64, value any) (Object, error)
+	Put(ctx context.Context, kind, name string, version Version, value any) (Object, error)
 	// Delete removes the object if it still has version; the error is a *ConflictError otherwise.
-	Delete(ctx context.Context, kind, name string, version uint64) error
+	Delete(ctx context.Context, kind, name string, version Version) error
 	// Watch calls handle for each event after version until it fails; the error is ErrGone if version is too old.
-	Watch(ctx context.Context, kind string, version uint64, handle func(Event)) error
+	Watch(ctx context.Context, kind string, version Version, handle func(Event)) error
 }
--- a/internal/serving/ledger/holder.go
+++ b/internal/serving/ledger/holder.go
@@ -50,7 +50,7 @@
 
 	// The fields below belong to Open and then to Run.
 	head        Head
-	headVersion uint64
+	headVersion object.Version
 	nonce       uint64
 	// number is that of the last segment that this holder has named.
 	number uint64
@@ -99,7 +99,7 @@
 // read lists the log. A list that lacks a segment was read in parts while the former holder compacted the log; it is read
 // again unless the head shows that nothing has changed.
 func (h *Holder) read(ctx context.Context) (storedLog, error) {
-	var last uint64
+	var last object.Version
 	for {
 		list, err := h.cfg.Store.List(ctx, Kind, namePrefix(h.cfg.Shard))
 		if err != nil {
--- a/internal/serving/ledger/segment.go
+++ b/internal/serving/ledger/segment.go
@@ -46,7 +46,7 @@
 // logSegment is a segment as its holder knows it.
 type logSegment struct {
 	name    string
-	version uint64
+	version object.Version
 	keys    []string
 }
 
@@ -89,7 +89,7 @@
 // storedLog is a shard's log as one list of its objects shows it.
 type storedLog struct {
 	head        Head
-	headVersion uint64
+	headVersion object.Version
 	segments    []logSegment
 	// rows are the rows of all segments and of the head, oldest first.
 	rows []Row
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -47,9 +47,9 @@
 	_ = json.NewEncoder(w).Encode(value)
 }
 
-func versionParam(r *http.Request, key string) uint64 {
+func versionParam(r *http.Request, key string) object.Version {
 	n, _ := strconv.ParseUint(r.URL.Query().Get(key), 10, 64)
-	return n
+	return object.Version(n)
 }
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -29,10 +29,10 @@
 // Store keeps all objects in memory.
 type Store struct {
 	mu              sync.Mutex
-	version         uint64
+	version         object.Version
 	objects         map[string]map[string]object.Object
 	history         []object.Event
-	oldestVersion   uint64
+	oldestVersion   object.Version
 	watchers        map[chan struct{}]bool
 	vms             vm.List
 	counts          Counts
@@ -84,7 +84,7 @@
 }
 
 // Put writes value if the object still has the given version.
-func (s *Store) Put(ctx context.Context, kind, name string, version uint64, value any) (object.Object, error) {
+func (s *Store) Put(ctx context.Context, kind, name string, version object.Version, value any) (object.Object, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		return object.Object{}, err
@@ -99,7 +99,7 @@
 	return o, err
 }
 
-func (s *Store) put(kind, name string, version uint64, data []byte) (object.Object, error) {
+func (s *Store) put(kind, name string, version object.Version, data []byte) (object.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, ok := s.objects[kind][name]
@@ -120,7 +120,7 @@
 }
 
 // Delete deletes the object if it still has the given version.
-func (s *Store) Delete(ctx context.Context, kind, name string, version uint64) error {
+func (s *Store) Delete(ctx context.Context, kind, name string, version object.Version) error {
 	if err := s.beginCall(ctx, func(c *Counts) { c.Writes++ }); err != nil {
 		return err
 	}
@@ -156,7 +156,7 @@
 }
 
 // Watch calls handle for each event after version until ctx is done or a fault ends the watch.
-func (s *Store) Watch(ctx context.Context, kind string, version uint64, handle func(object.Event)) error {
+func (s *Store) Watch(ctx context.Context, kind string, version object.Version, handle func(object.Event)) error {
 	if err := s.beginCall(ctx, func(c *Counts) { c.Watches++ }); err != nil {
 		return err
 	}
@@ -191,7 +191,7 @@
 	}
 }
 
-func (s *Store) eventsAfter(kind string, version, generation uint64) ([]object.Event, uint64, error) {
+func (s *Store) eventsAfter(kind string, version object.Version, generation uint64) ([]object.Event, object.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down || s.watchGeneration != generation {
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -329,7 +329,7 @@
 func (d *Dispatcher) logCallStarted(s *shardScheduler, c *batch.Call, profile route.BatchProfile) {
 	d.cfg.Meter.SetQueuedPieces(s.service, s.Len())
 	d.cfg.Log.WithFields(logrus.Fields{
-		"service": s.service, "target": c.Target.ID, "datacentre": c.Target.Datacentre, "revision": c.Target.Version, "pieces": len(c.Pieces), "places": profile.MaxSize,
+		"service": s.service, "target": c.Target.ID, "datacentre": c.Target.Datacentre, "revision": c.Target.Version.Revision(), "pieces": len(c.Pieces), "places": profile.MaxSize,
 		"waiting": c.QueueLength, "held": c.HeldBytes, "hidden": c.UntrackedBytes, "sure": c.StartsAtOnce, "expected_ms": c.Expected.Milliseconds(), "requests": c.Requests(),
 	}).Info("desk: stage call begun")
 }
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -184,7 +184,7 @@
 func (g *Gateway) logPicked(now time.Time, rs *requestState, c balancer.Candidate, try int) {
 	g.cfg.Log.WithFields(logrus.Fields{
 		"request": rs.ID, "target": c.Target.ID, "datacentre": c.Target.Datacentre, "service": rs.service.Name, "try": try, "running": c.Running, "unread": c.PendingTokens,
-		"avoid": c.InBackoff, "cold": c.Target.Cold(now), "revision": c.Target.Version, "left_ms": rs.deadline.Sub(now).Milliseconds(),
+		"avoid": c.InBackoff, "cold": c.Target.Cold(now), "revision": c.Target.Version.Revision(), "left_ms": rs.deadline.Sub(now).Milliseconds(),
 	}).Info("gateway: target chosen")
 }
 
--- a/internal/wire/operatorapi/server.go
+++ b/internal/wire/operatorapi/server.go
@@ -60,7 +60,7 @@
 
 // PutRequest is the body of a request to edit an object.
 type PutRequest struct {
-	Version uint64          `json:"version"`
+	Version object.Version  `json:"version"`
 	Value   json.RawMessage `json:"value"`
 	Reason  string          `json:"reason,omitempty"`
 }
@@ -190,7 +190,7 @@
 		writeJSON(w, http.StatusBadRequest, ErrorResponse{Error: "version: must be the version that is to be removed"})
 		return
 	}
-	err = s.cfg.Editor.Delete(r.Context(), edit.Edit{Kind: vars["kind"], Name: vars["name"], Version: version, Operator: p.Operator, Reason: query.Get("reason")})
+	err = s.cfg.Editor.Delete(r.Context(), edit.Edit{Kind: vars["kind"], Name: vars["name"], Version: object.Version(version), Operator: p.Operator, Reason: query.Get("reason")})
 	writeResult(w, struct{}{}, err)
 }
 
--- a/internal/wire/snapshot/follow.go
+++ b/internal/wire/snapshot/follow.go
@@ -149,7 +149,7 @@
 	for _, e := range u.Events {
 		o := e.Object
 		m.Events = append(m.Events, &snapshotpb.Event{
-			Kind: o.Kind, Deleted: e.Type == object.Delete, Object: &snapshotpb.Object{Name: o.Name, Version: o.Version, Value: o.Value},
+			Kind: o.Kind, Deleted: e.Type == object.Delete, Object: &snapshotpb.Object{Name: o.Name, Version: uint64(o.Version), Value: o.Value},
 		})
 	}
 	return m
@@ -191,7 +191,7 @@
 		if e.Object == nil {
 			continue
 		}
-		event := object.Event{Type: object.Put, Object: object.Object{Kind: e.Kind, Name: e.Object.Name, Version: e.Object.Version, Value: e.Object.Value}}
+		event := object.Event{Type: object.Put, Object: object.Object{Kind: e.Kind, Name: e.Object.Name, Version: object.Version(e.Object.Version), Value: e.Object.Value}}
 		if e.Deleted {
 			event.Type = object.Delete
 		}
--- a/internal/wire/snapshot/follow_test.go
+++ b/internal/wire/snapshot/follow_test.go
@@ -8,7 +8,7 @@
 )
 
 func testUpdate(n int) Update {
-	return Update{Events: []object.Event{{Type: object.Put, Object: object.Object{Kind: "targets", Name: fmt.Sprint("t", n), Version: uint64(n)}}}}
+	return Update{Events: []object.Event{{Type: object.Put, Object: object.Object{Kind: "targets", Name: fmt.Sprint("t", n), Version: object.Version(n)}}}}
 }
 
 // TestCoalescesTargetsThatJoinTogether covers a fleet whose targets join at the same moment: followers get few
--- a/internal/wire/snapshot/snapshot.go
+++ b/internal/wire/snapshot/snapshot.go
@@ -48,9 +48,9 @@
 func toLists(lists map[string]object.List) *snapshotpb.Lists {
 	out := &snapshotpb.Lists{}
 	for kind, l := range lists {
-		m := &snapshotpb.List{Kind: kind, Version: l.Version}
+		m := &snapshotpb.List{Kind: kind, Version: uint64(l.Version)}
 		for _, o := range l.Items {
-			m.Objects = append(m.Objects, &snapshotpb.Object{Name: o.Name, Version: o.Version, Value: o.Value})
+			m.Objects = append(m.Objects, &snapshotpb.Object{Name: o.Name, Version: uint64(o.Version), Value: o.Value})
 		}
 		out.Lists = append(out.Lists, m)
 	}
@@ -76,9 +76,9 @@
 func fromLists(m *snapshotpb.Lists) map[string]object.List {
 	lists := map[string]object.List{}
 	for _, l := range m.Lists {
-		list := object.List{Version: l.Version}
+		list := object.List{Version: object.Version(l.Version)}
 		for _, o := range l.Objects {
-			list.Items = append(list.Items, object.Object{Kind: l.Kind, Name: o.Name, Version: o.Version, Value: o.Value})
+			list.Items = append(list.Items, object.Object{Kind: l.Kind, Name: o.Name, Version: object.Version(o.Version), Value: o.Value})
 		}
 		lists[l.Kind] = list
 	}
