--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -200,7 +200,11 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "dial")
 	}
-	return &conn{netConn: n, reader: bufio.NewReaderSize(n, readBufferBytes), keepAlive: defaultKeepAlive}, nil
+	return newConn(n), nil
+}
+
+func newConn(n net.Conn) *conn {
+	return &conn{netConn: n, reader: bufio.NewReaderSize(n, readBufferBytes), keepAlive: defaultKeepAlive}
 }
 
 // Send sends a request and reads the response header; the connection is closed if ctx ends before the body does.
--- a/internal/wire/eventstream/progress.go
+++ b/internal/wire/eventstream/progress.go
@@ -36,27 +36,23 @@
 	lineField   line = "field"
 )
 
-// With returns the progress after data, and the length of data up to the end of its last complete event, 0 if it ends
-// none. Lines may end with LF, CRLF or CR; comments belong to no event.
+// With returns the progress after data, and the length of data up to its last line ending between events, 0 if it has none.
+// Lines may end with LF, CRLF or CR; comments belong to no event.
 func (p Progress) With(data []byte) (Progress, int) {
 	end := 0
 	for i, b := range data {
-		if b == '\n' && p.afterCR {
-			p.afterCR = false
-			if p.line == lineStart && !p.InEvent && end == i {
-				end++
-			}
-			continue
-		}
+		isRestOfCRLF := b == '\n' && p.afterCR
 		p.afterCR = b == '\r'
 		switch {
 		case b == '\n' || b == '\r':
-			if p.line == lineStart && p.InEvent {
+			if p.line == lineStart && p.InEvent && !isRestOfCRLF {
 				p.Events++
 				p.InEvent = false
-				end = i + 1
 			}
 			p.line = lineStart
+			if !p.InEvent {
+				end = i + 1
+			}
 		case p.line == lineStart && b == ':':
 			p.line = lineComment
 		case p.line == lineStart:
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -139,16 +139,19 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		rw.received.bytes += n
-		*rw.received.events, _ = rw.received.events.With(buf[:n])
+		var boundary int
+		*rw.received.events, boundary = rw.received.events.With(buf[:n])
 		if n > 0 {
 			rw.start(resp, resumable)
 			out := buf[:n]
 			if resumable {
+				before := len(pending)
 				pending = append(pending, out...)
-				end := completeEventsLen(pending)
-				out = pending[:end]
+				out = nil
+				if boundary > 0 {
+					out, pending = pending[:before+boundary], pending[before+boundary:]
+				}
 				rw.recordEventID(out)
-				pending = pending[end:]
 			}
 			if e := rw.write(out); e != nil {
 				return sendResult{final: cancellation()}
@@ -219,20 +222,9 @@
 	return http.NewResponseController(rw.w).Flush()
 }
 
-// completeEventsLen returns the length of the complete events at the start of data.
-func completeEventsLen(data []byte) int {
-	end := 0
-	for _, sep := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.LastIndex(data, []byte(sep)); i >= 0 {
-			end = max(end, i+len(sep))
-		}
-	}
-	return end
-}
-
 // recordEventID records the ID of the last event.
 func (rw *responseWriter) recordEventID(events []byte) {
-	for line := range bytes.Lines(events) {
+	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			rw.lastEventID = string(bytes.TrimSpace(v))
 		}
