Keep keys sent once when the platform comes back from an older copy

Cause: a restore takes back rows that the ledger has acknowledged, and gives the revisions out again on which its head is updated: a holder that does not know of it could overwrite the head of another one, and whoever opened the shard next did not know what had been granted. Change: the platform's client and the stand-in know eras (header Era). A shard's head and segments are named by the era in which they are written. Who opens a shard for the first time in an era asks the former holders first; each stops and hands on its rows of the last 20 minutes, which are merged by a stamp of their write. Objects that the head no longer names are deleted 20 minutes later. The stand-in keeps copies and comes back from them. Conclusion: a key whose holder died with its rows in the lost seconds can still be sent again; nothing else knows it.

--- a/internal/operator/process/process.go
+++ b/internal/operator/process/process.go
@@ -58,7 +58,9 @@
 // VMs reads the list of live and leaving VMs.
 func (p httpPlatform) VMs(ctx context.Context) (vm.List, error) {
 	var l vm.List
-	err := p.Client.VMs(ctx, &l)
+	era, err := p.Client.VMs(ctx, &l)
+	// The number of the list goes back with an older copy of the platform.
+	l.Revision = uint64(object.NewVersion(era, l.Revision))
 	return l, err
 }
 
--- a/internal/platform/object/client.go
+++ b/internal/platform/object/client.go
@@ -39,8 +39,15 @@
 type Client struct {
 	cfg  ClientConfig
 	http httpc.Service
+	eras Eras
 }
 
+// HeaderEra is the header in which the platform names its era; it rises by one each time that it comes back from an older copy.
+const HeaderEra = "Era"
+
+// Era returns the latest era of the platform that an answer has named.
+func (c *Client) Era() uint64 { return c.eras.Latest() }
+
 // NewClient returns a client; connections are opened on demand.
 func NewClient(cfg ClientConfig) *Client {
 	// The circuit breaker would reject calls in place of the platform and so hide the end of an outage.
@@ -58,32 +65,48 @@
 	return c.cfg.URL + "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
 
-func (c *Client) call(ctx context.Context, method, endpoint string, body []byte, maxBytes int64) ([]byte, int, error) {
+// response is the response to one call.
+type response struct {
+	status int
+	body   []byte
+	// era is the platform's era when it answered.
+	era uint64
+}
+
+func (c *Client) call(ctx context.Context, method, endpoint string, body []byte, maxBytes int64) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, endpoint, bytes.NewReader(body))
 	if err != nil {
-		return nil, 0, err
+		return response{}, err
 	}
 	resp, err := c.http.DoRequest(req)
 	if err != nil {
-		return nil, 0, err
+		return response{}, err
 	}
 	defer resp.Body.Close()
+	era, err := c.eras.Note(resp.Header.Get(HeaderEra))
+	if err != nil {
+		return response{}, err
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
 	if err != nil {
-		return nil, 0, err
+		return response{}, err
 	}
 	if int64(len(data)) > maxBytes {
-		return nil, 0, merry.Errorf("answer is over %d bytes", maxBytes)
+		return response{}, merry.Errorf("answer is over %d bytes", maxBytes)
 	}
-	return data, resp.StatusCode, nil
+	return response{status: resp.StatusCode, body: data, era: era}, nil
+}
+
+func (c *Client) checkCondition(ctx context.Context, kind, name string, version Version) error {
+	return c.eras.CheckCondition(ctx, version, func(ctx context.Context) (Object, error) { return c.Get(ctx, kind, name) })
 }
 
 // Get reads one object; the error is ErrNotFound if there is none.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
-	data, code, err := c.call(ctx, http.MethodGet, c.objectURL(kind, name), nil, 2*maxValueBytes)
-	return decodeObject("get", kind, name, data, code, err)
+	r, err := c.call(ctx, http.MethodGet, c.objectURL(kind, name), nil, 2*maxValueBytes)
+	return decodeObject("get", kind, name, r, err)
 }
 
 // Put writes value if the object still has the given version.
@@ -95,34 +118,47 @@
 	if len(body) > maxValueBytes {
 		return Object{}, merry.Errorf("put %s/%s: value of %d bytes is over %d", kind, name, len(body), maxValueBytes)
 	}
-	endpoint := fmt.Sprintf("%s?version=%d", c.objectURL(kind, name), version)
-	data, code, err := c.call(ctx, http.MethodPut, endpoint, body, 2*maxValueBytes)
-	return decodeObject("put", kind, name, data, code, err)
+	if err := c.checkCondition(ctx, kind, name, version); err != nil {
+		return Object{}, err
+	}
+	endpoint := fmt.Sprintf("%s?version=%d", c.objectURL(kind, name), version.Revision())
+	r, err := c.call(ctx, http.MethodPut, endpoint, body, 2*maxValueBytes)
+	if err == nil {
+		err = CheckAnswer(version, r.era)
+	}
+	return decodeObject("put", kind, name, r, err)
 }
 
 // Delete removes the object if it still has the given version.
 func (c *Client) Delete(ctx context.Context, kind, name string, version Version) error {
-	endpoint := fmt.Sprintf("%s?version=%d", c.objectURL(kind, name), version)
-	data, code, err := c.call(ctx, http.MethodDelete, endpoint, nil, 2*maxValueBytes)
-	_, err = decodeObject("delete", kind, name, data, code, err)
+	if err := c.checkCondition(ctx, kind, name, version); err != nil {
+		return err
+	}
+	endpoint := fmt.Sprintf("%s?version=%d", c.objectURL(kind, name), version.Revision())
+	r, err := c.call(ctx, http.MethodDelete, endpoint, nil, 2*maxValueBytes)
+	if err == nil {
+		err = CheckAnswer(version, r.era)
+	}
+	_, err = decodeObject("delete", kind, name, r, err)
 	return err
 }
 
-func decodeObject(op, kind, name string, data []byte, code int, err error) (Object, error) {
+func decodeObject(op, kind, name string, r response, err error) (Object, error) {
 	if err != nil {
 		return Object{}, merry.Prependf(err, "%s %s/%s", op, kind, name)
 	}
-	if code == http.StatusNotFound {
+	if r.status == http.StatusNotFound {
 		return Object{}, merry.Prependf(ErrNotFound, "%s %s/%s", op, kind, name)
 	}
-	if code != http.StatusOK && code != http.StatusConflict {
-		return Object{}, merry.Errorf("%s %s/%s: status %d: %.100s", op, kind, name, code, data)
+	if r.status != http.StatusOK && r.status != http.StatusConflict {
+		return Object{}, merry.Errorf("%s %s/%s: status %d: %.100s", op, kind, name, r.status, r.body)
 	}
 	var o Object
-	if err := json.Unmarshal(data, &o); err != nil {
+	if err := json.Unmarshal(r.body, &o); err != nil {
 		return Object{}, merry.Prependf(err, "%s %s/%s", op, kind, name)
 	}
-	if code == http.StatusConflict {
+	o.Version = NewVersion(r.era, o.Version.Revision())
+	if r.status == http.StatusConflict {
 		return Object{}, &ConflictError{Current: o}
 	}
 	return o, nil
@@ -131,17 +167,21 @@
 // List reads the objects of a kind whose names start with prefix.
 func (c *Client) List(ctx context.Context, kind, prefix string) (List, error) {
 	endpoint := c.cfg.URL + "/v1/objects/" + url.PathEscape(kind) + "?prefix=" + url.QueryEscape(prefix)
-	data, code, err := c.call(ctx, http.MethodGet, endpoint, nil, maxListBytes)
-	if err == nil && code != http.StatusOK {
-		err = merry.Errorf("status %d: %.100s", code, data)
+	r, err := c.call(ctx, http.MethodGet, endpoint, nil, maxListBytes)
+	if err == nil && r.status != http.StatusOK {
+		err = merry.Errorf("status %d: %.100s", r.status, r.body)
 	}
 	var l List
 	if err == nil {
-		err = json.Unmarshal(data, &l)
+		err = json.Unmarshal(r.body, &l)
 	}
 	if err != nil {
 		return List{}, merry.Prependf(err, "list %s", kind)
 	}
+	l.Version = NewVersion(r.era, l.Version.Revision())
+	for i, o := range l.Items {
+		l.Items[i].Version = NewVersion(r.era, o.Version.Revision())
+	}
 	return l, nil
 }
 
@@ -149,7 +189,10 @@
 func (c *Client) Watch(ctx context.Context, kind string, version Version, handle func(Event)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	endpoint := fmt.Sprintf("%s/v1/watch/%s?from=%d", c.cfg.URL, url.PathEscape(kind), version)
+	if version.Era() != c.eras.Latest() {
+		return merry.Prependf(ErrEraChanged, "watch %s", kind)
+	}
+	endpoint := fmt.Sprintf("%s/v1/watch/%s?from=%d", c.cfg.URL, url.PathEscape(kind), version.Revision())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, endpoint, nil)
 	if err != nil {
 		return merry.Prependf(err, "watch %s", kind)
@@ -161,6 +204,13 @@
 		return merry.Prependf(err, "watch %s", kind)
 	}
 	defer resp.Body.Close()
+	era, err := c.eras.Note(resp.Header.Get(HeaderEra))
+	if err == nil && era != version.Era() {
+		err = ErrEraChanged
+	}
+	if err != nil {
+		return merry.Prependf(err, "watch %s", kind)
+	}
 	if resp.StatusCode == http.StatusGone {
 		return merry.Prependf(ErrGone, "watch %s", kind)
 	}
@@ -178,21 +228,25 @@
 		if err := json.Unmarshal(line, &e); err != nil {
 			return merry.Prependf(err, "watch %s", kind)
 		}
+		if c.eras.Latest() != era {
+			return merry.Prependf(ErrEraChanged, "watch %s", kind)
+		}
+		e.Object.Version = NewVersion(era, e.Object.Version.Revision())
 		handle(e)
 	}
 }
 
-// VMs reads the platform's list of live and leaving VMs.
-func (c *Client) VMs(ctx context.Context, into any) error {
-	data, code, err := c.call(ctx, http.MethodGet, c.cfg.URL+"/v1/vms", nil, maxListBytes)
-	if err == nil && code != http.StatusOK {
-		err = merry.Errorf("status %d", code)
+// VMs reads the platform's list of live and leaving VMs, and returns the era in which it was read.
+func (c *Client) VMs(ctx context.Context, into any) (era uint64, err error) {
+	r, err := c.call(ctx, http.MethodGet, c.cfg.URL+"/v1/vms", nil, maxListBytes)
+	if err == nil && r.status != http.StatusOK {
+		err = merry.Errorf("status %d", r.status)
 	}
 	if err == nil {
-		err = json.Unmarshal(data, into)
+		err = json.Unmarshal(r.body, into)
 	}
 	if err != nil {
-		return merry.Prepend(err, "list vms")
+		return 0, merry.Prepend(err, "list vms")
 	}
-	return nil
+	return r.era, nil
 }
--- a/internal/serving/ledger/commit.go
+++ b/internal/serving/ledger/commit.go
@@ -24,7 +24,7 @@
 // writeSegment writes rows under a new name of this holder; the head has to name the segment before it counts.
 func (h *Holder) writeSegment(ctx context.Context, rows []Row) (logSegment, error) {
 	h.number++
-	s := logSegment{name: segmentName(h.cfg.Shard, h.head.Generation, h.number), keys: keysOf(rows)}
+	s := logSegment{name: segmentName(h.cfg.Shard, h.era, h.head.Generation, h.number), keys: keysOf(rows)}
 	return s, h.putSegment(ctx, &s, rows)
 }
 
@@ -41,17 +41,17 @@
 }
 
 // putHead replaces the head. After a lost response it reads the head back to learn whether the write took effect.
-// It returns false if another holder has replaced the head.
+// It returns false if another holder has replaced the head, or if the platform has come back from an older copy.
 func (h *Holder) putHead(ctx context.Context, next Head) (bool, error) {
 	h.countWrite()
-	name := HeadName(h.cfg.Shard)
+	name := HeadName(h.cfg.Shard, h.era)
 	o, err := h.cfg.Store.Put(ctx, Kind, name, h.headVersion, next)
 	var conflict *object.ConflictError
 	switch {
 	case err == nil:
 	case errors.As(err, &conflict):
 		o = conflict.Current
-	case h.headVersion != 0 && errors.Is(err, object.ErrNotFound):
+	case h.headVersion != 0 && errors.Is(err, object.ErrNotFound), errors.Is(err, object.ErrEraChanged):
 		return false, nil
 	default:
 		current, readErr := h.cfg.Store.Get(ctx, Kind, name)
@@ -61,7 +61,7 @@
 		}
 		o = current
 	}
-	if !isSameWrite(o.Value, next) {
+	if !h.isOfEra(o) || !isSameWrite(o.Value, next) {
 		return false, nil
 	}
 	h.head, h.headVersion = next, o.Version
@@ -191,6 +191,10 @@
 func (h *Holder) finishBatch(segments []logSegment, batch []*operation) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.lost {
+		// A suspended holder has already handed on what it knows.
+		return
+	}
 	h.segments = segments
 	for _, op := range batch {
 		h.shard.Apply(op.row)
@@ -214,6 +218,8 @@
 }
 
 func (h *Holder) enqueue(r Row) *operation {
+	h.rowNumber++
+	r.Stamp = Stamp{Era: h.era, Generation: h.generation, Number: h.rowNumber}
 	op := &operation{row: r, done: make(chan struct{})}
 	h.pending = append(h.pending, op)
 	h.wakeRun()
--- a/internal/serving/ledger/compact.go
+++ b/internal/serving/ledger/compact.go
@@ -74,14 +74,23 @@
 	return parts
 }
 
-// markUnused queues segments that the head does not name for deletion.
+// unusedRetention is how long objects that the head no longer names are kept. A call that deletes them may take effect after the
+// platform has come back from an older copy, whose head may still name them.
+const unusedRetention = carryWindow
+
+// markUnused queues objects that the head does not name for deletion.
 func (h *Holder) markUnused(segments ...logSegment) {
-	h.unused = append(h.unused, segments...)
+	now := h.cfg.Now()
+	for _, s := range segments {
+		s.unusedSince = now
+		h.unused = append(h.unused, s)
+	}
 }
 
-// removeUnused deletes unused segments; what the platform does not delete now is tried again after the next commit.
+// removeUnused deletes the objects that have been unused for long enough; what the platform does not delete now is tried again
+// after the next commit.
 func (h *Holder) removeUnused(ctx context.Context) {
-	for len(h.unused) > 0 {
+	for len(h.unused) > 0 && h.cfg.Now().Sub(h.unused[0].unusedSince) >= unusedRetention {
 		s := h.unused[0]
 		err := h.removeSegment(ctx, s)
 		if err != nil && !errors.Is(err, object.ErrNotFound) {
--- a/internal/serving/ledger/holder.go
+++ b/internal/serving/ledger/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,9 @@
 	// ClaimTimeout is the maximum time that a claim waits to become durable.
 	ClaimTimeout time.Duration
 	Retention    time.Duration
+	// Recover returns what former holders know of the shard, after each of them has stopped; it is called when the shard is opened
+	// for the first time in an era. It may be nil.
+	Recover func(ctx context.Context, era uint64) ([]Carry, error)
 }
 
 // Holder serves one shard and is the only writer of its log until another holder takes over.
@@ -47,6 +51,11 @@
 	unavailable   bool
 	lost          bool
 	writes        int64
+	// era and generation do not change after Open.
+	era        uint64
+	generation uint64
+	// rowNumber is that of the last row that this holder has stamped.
+	rowNumber uint64
 
 	// The fields below belong to Open and then to Run.
 	head        Head
@@ -54,7 +63,7 @@
 	nonce       uint64
 	// number is that of the last segment that this holder has named.
 	number uint64
-	// unused are segments that the head does not name and that are to be deleted.
+	// unused are objects that the head does not name and that are to be deleted, those unused for longest first.
 	unused []logSegment
 	// compactAbove is the number of segments above which the log is compacted.
 	compactAbove int
@@ -86,7 +95,7 @@
 			return nil, merry.Prependf(err, "open ledger shard %d", cfg.Shard)
 		}
 		h.load(l)
-		taken, err := h.putHead(ctx, h.nextHead(h.segments, h.head.Rows))
+		taken, err := h.takeOver(ctx, l)
 		if err != nil {
 			return nil, merry.Prependf(err, "open ledger shard %d", cfg.Shard)
 		}
@@ -96,6 +105,54 @@
 	}
 }
 
+// takeOver writes the first head of this holder; false means that the log has to be read again.
+func (h *Holder) takeOver(ctx context.Context, l storedLog) (bool, error) {
+	segments, rows := h.segments, h.head.Rows
+	if l.headEra < l.era || l.headVersion == 0 {
+		lost, err := h.recoverRows(ctx, l)
+		if err != nil {
+			return false, err
+		}
+		rows = append(slices.Clip(rows), lost...)
+	}
+	if len(rows) > 0 && rowsSize(rows) > maxHeadBytes {
+		for _, part := range splitRows(rows) {
+			s, err := h.writeSegment(ctx, part)
+			if err != nil {
+				return false, err
+			}
+			segments = append(slices.Clip(segments), s)
+		}
+		rows = nil
+	}
+	taken, err := h.putHead(ctx, h.nextHead(segments, rows))
+	if taken {
+		h.segments = segments
+	}
+	return taken, err
+}
+
+// recoverRows asks the former holders for the rows that the log has lost with an older copy of the platform, and makes the log one
+// without a head in this era.
+func (h *Holder) recoverRows(ctx context.Context, l storedLog) ([]Row, error) {
+	if l.headVersion != 0 {
+		h.markUnused(logSegment{name: HeadName(h.cfg.Shard, l.headEra), version: l.headVersion})
+		h.headVersion = 0
+	}
+	if h.cfg.Recover == nil || l.era == 0 {
+		return nil, nil
+	}
+	carries, err := h.cfg.Recover(ctx, l.era)
+	if err != nil {
+		return nil, merry.Prepend(err, "ask former holders")
+	}
+	for _, c := range carries {
+		h.head.Generation = max(h.head.Generation, c.Generation+1)
+	}
+	h.generation = h.head.Generation
+	return addNewer(h.shard.rows, carries), nil
+}
+
 // read lists the log. A list that lacks a segment was read in parts while the former holder compacted the log; it is read
 // again unless the head shows that nothing has changed.
 func (h *Holder) read(ctx context.Context) (storedLog, error) {
@@ -119,7 +176,9 @@
 func (h *Holder) load(l storedLog) {
 	h.head, h.headVersion = l.head, l.headVersion
 	h.head.Generation++
-	h.segments, h.unused = l.segments, l.unused
+	h.era, h.generation = l.era, h.head.Generation
+	h.segments, h.unused = l.segments, nil
+	h.markUnused(l.unused...)
 	h.shard = NewShard(h.cfg.Retention)
 	for _, r := range l.rows {
 		h.shard.Apply(r)
--- a/internal/serving/ledger/segment.go
+++ b/internal/serving/ledger/segment.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -48,14 +49,17 @@
 	name    string
 	version object.Version
 	keys    []string
+	// unusedSince is when the head was first known not to name the segment.
+	unusedSince time.Time
 }
 
-// HeadName returns the object name of a shard's head.
-func HeadName(shard int) string { return namePrefix(shard) + "head" }
+// HeadName returns the object name of a shard's head in an era of the platform. A holder that does not know of a later era cannot
+// write the head of that era, even if a revision that it knows has been given out again.
+func HeadName(shard int, era uint64) string { return object.NameInEra(namePrefix(shard)+"head", era) }
 
 // segmentName returns a name that only the holder of the generation writes, so no two holders write one object.
-func segmentName(shard int, generation, number uint64) string {
-	return fmt.Sprintf("%s%08d-%08d", namePrefix(shard), generation, number)
+func segmentName(shard int, era, generation, number uint64) string {
+	return object.NameInEra(fmt.Sprintf("%s%08d-%08d", namePrefix(shard), generation, number), era)
 }
 
 func namePrefix(shard int) string { return fmt.Sprintf("%04d-", shard) }
@@ -88,7 +92,11 @@
 
 // storedLog is a shard's log as one list of its objects shows it.
 type storedLog struct {
-	head        Head
+	// era is the platform's era in which the log was read, headEra that in which its head was written.
+	era     uint64
+	headEra uint64
+	head    Head
+	// headVersion is 0 if the log has no head.
 	headVersion object.Version
 	segments    []logSegment
 	// rows are the rows of all segments and of the head, oldest first.
@@ -100,21 +108,32 @@
 }
 
 func parseLog(shard int, list object.List) (storedLog, error) {
-	var l storedLog
+	l := storedLog{era: list.Version.Era()}
 	stored := map[string]object.Object{}
 	for _, item := range list.Items {
-		if item.Name != HeadName(shard) {
-			stored[item.Name] = item
-			continue
+		stored[item.Name] = item
+	}
+	for l.headEra = l.era; ; l.headEra-- {
+		name := HeadName(shard, l.headEra)
+		if item, ok := stored[name]; ok {
+			delete(stored, name)
+			l.headVersion = item.Version
+			if err := json.Unmarshal(item.Value, &l.head); err != nil {
+				return storedLog{}, merry.Prependf(err, "head %s", item.Name)
+			}
+			break
 		}
-		l.headVersion = item.Version
-		if err := json.Unmarshal(item.Value, &l.head); err != nil {
-			return storedLog{}, merry.Prependf(err, "head %s", item.Name)
+		if l.headEra == 0 {
+			break
 		}
 	}
 	if l.headVersion == 0 {
-		// A log that was written before logs had heads: all its segments count.
-		l.head.Segments = slices.Sorted(maps.Keys(stored))
+		// A log that was written before logs had heads, and before names had eras: all its segments count.
+		for _, name := range slices.Sorted(maps.Keys(stored)) {
+			if !strings.Contains(name, "@") {
+				l.head.Segments = append(l.head.Segments, name)
+			}
+		}
 	}
 	for _, name := range l.head.Segments {
 		item, ok := stored[name]
--- a/internal/serving/ledger/shard.go
+++ b/internal/serving/ledger/shard.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -29,6 +30,22 @@
 	// certainly over.
 	ClaimedAtMs int64 `json:"at"`
 	ExpiresAtMs int64 `json:"until"`
+	// Stamp orders the rows of one key.
+	Stamp Stamp `json:"stamp,omitzero"`
+}
+
+// Stamp identifies the write of a row. The rows of one key are written one after the other by holders that take over from each
+// other, so a later row has a higher stamp, whichever copy of the log has it.
+type Stamp struct {
+	// Era and Generation are those of the holder, Number counts its rows.
+	Era        uint64 `json:"era,omitempty"`
+	Generation uint64 `json:"generation,omitempty"`
+	Number     uint64 `json:"number,omitempty"`
+}
+
+// after reports whether the write came after another one of the same key.
+func (s Stamp) after(other Stamp) bool {
+	return cmp.Or(cmp.Compare(s.Era, other.Era), cmp.Compare(s.Generation, other.Generation), cmp.Compare(s.Number, other.Number)) > 0
 }
 
 // Status is the status of a claim or a lookup.
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -16,6 +16,7 @@
 // Handler returns the handler of the object API, the faults and the counts.
 func (s *Store) Handler() http.Handler {
 	m := http.NewServeMux()
+	writeResult := s.writeResult
 	m.HandleFunc("GET /v1/objects/{kind}/{name}", s.get)
 	m.HandleFunc("PUT /v1/objects/{kind}/{name}", s.update)
 	m.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.remove)
@@ -24,11 +25,34 @@
 	m.HandleFunc("GET /v1/vms", s.listVMs)
 	m.HandleFunc("PUT /standin/vms/{name}", s.setVM)
 	m.HandleFunc("PUT /standin/faults", s.putFaults)
+	m.HandleFunc("PUT /standin/copy", func(w http.ResponseWriter, _ *http.Request) {
+		c := s.Copy()
+		s.kept.Store(&c)
+		writeResult(w, nil, nil)
+	})
+	m.HandleFunc("PUT /standin/restore", s.restoreKept)
 	m.HandleFunc("GET /standin/counts", func(w http.ResponseWriter, _ *http.Request) { writeResult(w, s.Counts(), nil) })
 	return m
 }
 
-func writeResult(w http.ResponseWriter, value any, err error) {
+// restoreKept brings the store back from the copy that was kept last.
+func (s *Store) restoreKept(w http.ResponseWriter, _ *http.Request) {
+	c := s.kept.Load()
+	if c == nil {
+		http.Error(w, "no copy was made", http.StatusConflict)
+		return
+	}
+	s.Restore(*c)
+	s.writeResult(w, nil, nil)
+}
+
+// setEra names the era. It is called after the operation, so that no answer names an earlier era than that in which it was made.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set(object.HeaderEra, strconv.FormatUint(s.Era(), 10))
+}
+
+func (s *Store) writeResult(w http.ResponseWriter, value any, err error) {
+	s.setEra(w)
 	var conflict *object.ConflictError
 	code := http.StatusOK
 	switch {
@@ -54,7 +78,7 @@
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	o, err := s.Get(r.Context(), r.PathValue("kind"), r.PathValue("name"))
-	writeResult(w, o, err)
+	s.writeResult(w, o, err)
 }
 
 func (s *Store) update(w http.ResponseWriter, r *http.Request) {
@@ -68,40 +92,43 @@
 		// The caller sees its connection close without a response.
 		panic(http.ErrAbortHandler)
 	}
-	writeResult(w, o, err)
+	s.writeResult(w, o, err)
 }
 
 func (s *Store) remove(w http.ResponseWriter, r *http.Request) {
 	err := s.Delete(r.Context(), r.PathValue("kind"), r.PathValue("name"), versionParam(r, "version"))
-	writeResult(w, object.Object{}, err)
+	s.writeResult(w, object.Object{}, err)
 }
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	l, err := s.List(r.Context(), r.PathValue("kind"), r.URL.Query().Get("prefix"))
-	writeResult(w, l, err)
+	s.writeResult(w, l, err)
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
 	enc := json.NewEncoder(w)
 	started := false
 	err := s.Watch(r.Context(), r.PathValue("kind"), versionParam(r, "from"), func(e object.Event) {
+		if !started {
+			s.setEra(w)
+		}
 		started = true
 		_ = enc.Encode(e)
 		_ = http.NewResponseController(w).Flush()
 	})
 	if !started {
-		writeResult(w, nil, err)
+		s.writeResult(w, nil, err)
 	}
 }
 
 func (s *Store) listVMs(w http.ResponseWriter, r *http.Request) {
 	l, err := s.VMs(r.Context())
-	writeResult(w, l, err)
+	s.writeResult(w, l, err)
 }
 
 func (s *Store) setVM(w http.ResponseWriter, r *http.Request) {
 	s.SetVM(r.PathValue("name"), vm.State(r.URL.Query().Get("state")))
-	writeResult(w, nil, nil)
+	s.writeResult(w, nil, nil)
 }
 
 func (s *Store) putFaults(w http.ResponseWriter, r *http.Request) {
@@ -111,5 +138,5 @@
 		return
 	}
 	s.SetFaults(f)
-	writeResult(w, nil, nil)
+	s.writeResult(w, nil, nil)
 }
