--- a/internal/serving/ledger/restore_test.go
+++ b/internal/serving/ledger/restore_test.go
@@ -93,7 +93,10 @@
 
 // holderOf returns the holder of a process, which opens the shard if it has none; nil if it cannot.
 func (f *restoredFleet) holderOf(p *restoredProcess) (*Holder, int) {
-	if _, err := f.carried(p, p.session.Era()); err != nil {
+	f.mu.Lock()
+	session := p.session
+	f.mu.Unlock()
+	if _, err := f.carried(p, session.Era()); err != nil {
 		return nil, 0
 	}
 	f.mu.Lock()
@@ -107,9 +110,10 @@
 	}
 	p.opening = true
 	run := p.run
+	session = p.session
 	f.mu.Unlock()
 	cfg := newConfig(nil, fmt.Sprintf("p%d-%d", p.index, run))
-	cfg.Store, cfg.Recover = p.session, f.recover
+	cfg.Store, cfg.Recover = session, f.recover
 	h, err := Open(f.ctx, cfg)
 	f.mu.Lock()
 	defer f.mu.Unlock()
