Keep owners, leases and releases right when the platform comes back from an older copy

Cause: a restore takes back renewals, hand-overs, ended leases and published releases. A former owner that reached the platform found its own records and took its targets while the later owners were vouched for; new nodes saw an older release. Change: nodes learn of an era from their calls and from digests. Leases, owner records and the head are named by era and written again by who holds them; an expired lease is not; witnesses forget what a former era has shown; no target is taken on the grounds of a former era's record, or of none, before every live node knows the era and a take-over's wait and a lease have passed; fencing tokens start at the era times 2^32. A relay publishes the active release again. Ledger shards ask all live nodes when they are first opened in an era.

--- a/internal/bench/testbed/platformlink.go
+++ b/internal/bench/testbed/platformlink.go
@@ -15,14 +15,14 @@
 
 // PlatformLink is one node's connection to the platform, which can be cut.
 type PlatformLink struct {
-	store     *store.Store
+	store     *store.Session
 	cut       atomic.Bool
 	cutSignal atomic.Pointer[chan struct{}]
 	calls     atomic.Int64
 }
 
 func newPlatformLink(s *store.Store) *PlatformLink {
-	l := &PlatformLink{store: s}
+	l := &PlatformLink{store: s.Connect()}
 	open := make(chan struct{})
 	l.cutSignal.Store(&open)
 	return l
@@ -119,3 +119,9 @@
 	defer cancel()
 	return l.store.VMs(ctx)
 }
+
+// Era returns the latest era that an answer has named.
+func (l *PlatformLink) Era() uint64 { return l.store.Era() }
+
+// RaiseEra records an era that is known otherwise.
+func (l *PlatformLink) RaiseEra(era uint64) error { return l.store.RaiseEra(era) }
--- a/internal/catalog/release/release.go
+++ b/internal/catalog/release/release.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,9 @@
 	HistoryKind = "release"
 )
 
+// IsHeadName reports whether an object is the head of any era of the platform.
+func IsHeadName(name string) bool { return name == HeadName || strings.HasPrefix(name, HeadName+"@") }
+
 // TeamBuckets is the number of chunks over which the teams are distributed.
 const TeamBuckets = 192
 
--- a/internal/fleet/node/catalog.go
+++ b/internal/fleet/node/catalog.go
@@ -250,7 +250,7 @@
 	if n.cfg.Now().Sub(n.contacts.lastPlatform()) < 3*n.cfg.Settings.Timing.IsolationTimeout.Duration()/4 {
 		return
 	}
-	o, err := n.cfg.Platform.Get(ctx, release.HeadKind, release.HeadName)
+	o, _, err := object.GetInEra(ctx, n.cfg.Platform, release.HeadKind, release.HeadName, n.cfg.Platform.Era())
 	if errors.Is(err, object.ErrNotFound) {
 		n.contacts.recordPlatform(n.cfg.Now())
 		return
--- a/internal/fleet/node/digest.go
+++ b/internal/fleet/node/digest.go
@@ -111,6 +111,7 @@
 		Vms:     leavingVMs.Revision,
 		Ready:   n.Ready(),
 		Wardens: n.witness.ownWitnesses(),
+		Era:     n.era.latest(),
 	}
 	if other == nil {
 		return d
@@ -159,6 +160,7 @@
 	for _, m := range d.Members {
 		rows = append(rows, memberFromProto(m))
 	}
+	n.learnEra(rows[0].Name, d.Era)
 	n.mergeMembers(rows)
 	n.contacts.recordPeer(now, rows[0].Name, rows[0].Datacentre)
 	n.witness.setSubject(rows[0].Name, contains(d.Wardens, n.Name()))
--- a/internal/fleet/node/ledgers.go
+++ b/internal/fleet/node/ledgers.go
@@ -28,9 +28,11 @@
 
 // ledgers holds the ledger shards that this node serves.
 type ledgers struct {
-	node    *Node
-	mu      sync.Mutex
-	shards  map[int]*heldShard
+	node   *Node
+	mu     sync.Mutex
+	shards map[int]*heldShard
+	// carries holds what this node's holders of former eras knew, by shard.
+	carries map[int][]ledger.Carry
 	running sync.WaitGroup
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -38,11 +40,23 @@
 
 // heldShard is a shard that is being opened until ready is closed; then either holder or err is set.
 type heldShard struct {
+	// era is the latest one that the node knew when it began to open the shard.
+	era    uint64
 	ready  chan struct{}
 	holder *ledger.Holder
 	err    error
 }
 
+// isOpening reports whether the shard is being opened.
+func (h *heldShard) isOpening() bool {
+	select {
+	case <-h.ready:
+		return false
+	default:
+		return true
+	}
+}
+
 // isLost reports whether the shard was opened and has been taken over by another node since.
 func (h *heldShard) isLost() bool {
 	select {
@@ -55,7 +69,7 @@
 
 func newLedgers(n *Node) *ledgers {
 	ctx, stop := context.WithCancel(context.Background())
-	return &ledgers{node: n, shards: map[int]*heldShard{}, ctx: ctx, stop: stop}
+	return &ledgers{node: n, shards: map[int]*heldShard{}, carries: map[int][]ledger.Carry{}, ctx: ctx, stop: stop}
 }
 
 func (l *ledgers) heldCount() int {
@@ -89,7 +103,7 @@
 	l.mu.Lock()
 	h, ok := l.shards[shard]
 	if !ok || h.isLost() {
-		h = &heldShard{ready: make(chan struct{})}
+		h = &heldShard{era: l.node.era.latest(), ready: make(chan struct{})}
 		l.shards[shard] = h
 		l.running.Add(1)
 		go l.serveShard(shard, h)
@@ -115,6 +129,7 @@
 		CommitInterval: n.cfg.Settings.Ledger.CommitInterval.Duration(),
 		ClaimTimeout:   claimTimeout,
 		Retention:      n.cfg.Settings.Ledger.Retention.Duration(),
+		Recover:        func(ctx context.Context, era uint64) ([]ledger.Carry, error) { return l.recoverRows(ctx, shard, era) },
 	})
 	cancel()
 	h.holder, h.err = holder, err
@@ -125,6 +140,8 @@
 	}
 	n.log.With("shard", shard).Info("opened ledger shard")
 	close(h.ready)
+	// An era that began meanwhile did not find this holder.
+	l.suspend(n.era.latest())
 	holder.Run(l.ctx)
 	l.removeShard(shard, h)
 }
--- a/internal/fleet/node/membership.go
+++ b/internal/fleet/node/membership.go
@@ -35,27 +35,27 @@
 
 // join takes the node's lease and makes the node live.
 func (n *Node) join(ctx context.Context) error {
-	former, version, err := n.readLease(ctx, n.Name())
+	former, err := n.readLease(ctx, n.Name())
 	if err != nil {
 		return err
 	}
-	if version != 0 && former.State == lease.Held {
+	if former.found && former.record.State == lease.Held {
 		n.log.Info("waiting for the previous lease of this node name to expire")
-		if err := n.informFormerWitnesses(ctx, former); err != nil {
+		if err := n.informFormerWitnesses(ctx, former.record); err != nil {
 			return err
 		}
-		if err := n.awaitLeaseExpiry(ctx, n.Name(), version); err != nil {
+		if err := n.awaitLeaseExpiry(ctx, n.Name(), former.version); err != nil {
 			return err
 		}
 	}
-	if version == 0 {
+	if !former.found {
 		n.witness.markFirstProcess()
 	}
 	now := n.cfg.Now()
-	generation := max(uint64(now.UnixMilli()), former.Generation+1, n.Self().Generation)
+	generation := max(uint64(now.UnixMilli()), former.record.Generation+1, n.Self().Generation)
 	witnesses := witnessesFor(n.table.Load(), n.Self())
 	n.addWitnesses(witnesses)
-	o, err := n.cfg.Platform.Put(ctx, lease.Kind, n.Name(), version, lease.Record{Generation: generation, State: lease.Held, Witnesses: witnesses})
+	o, err := n.cfg.Platform.Put(ctx, lease.Kind, object.NameInEra(n.Name(), former.era), former.version, lease.Record{Generation: generation, State: lease.Held, Witnesses: witnesses})
 	if err != nil {
 		return merry.Prepend(err, "join")
 	}
@@ -75,14 +75,14 @@
 	observed := lease.Observation{}.Observed(version, n.cfg.Now())
 	for !observed.Expired(n.cfg.Now(), n.leaseTerms) {
 		sleep(ctx, n.cfg.Settings.Timing.Heartbeat.Duration())
-		r, v, err := n.readLease(ctx, name)
+		r, err := n.readLease(ctx, name)
 		if err != nil {
 			return err
 		}
-		if r.State == lease.Ended {
+		if r.record.State == lease.Ended {
 			return merry.New("lease ended before it expired")
 		}
-		observed = observed.Observed(v, n.cfg.Now())
+		observed = observed.Observed(r.version, n.cfg.Now())
 		if observed.Version != version {
 			return merry.Errorf("another process renews the lease of %s", name)
 		}
@@ -90,20 +90,9 @@
 	return nil
 }
 
-// readLease returns a node's lease record and its version; version 0 means that there is none.
-func (n *Node) readLease(ctx context.Context, name string) (lease.Record, object.Version, error) {
-	o, err := n.cfg.Platform.Get(ctx, lease.Kind, name)
-	if errors.Is(err, object.ErrNotFound) {
-		return lease.Record{}, 0, nil
-	}
-	if err != nil {
-		return lease.Record{}, 0, err
-	}
-	var r lease.Record
-	if err := json.Unmarshal(o.Value, &r); err != nil {
-		return lease.Record{}, 0, merry.Prependf(err, "lease %s", name)
-	}
-	return r, o.Version, nil
+// readLease returns a node's lease record.
+func (n *Node) readLease(ctx context.Context, name string) (stored[lease.Record], error) {
+	return readInEra[lease.Record](ctx, n.cfg.Platform, lease.Kind, name)
 }
 
 // updateSelf changes the node's own row and sends it to the platform and to peers.
@@ -157,7 +146,16 @@
 	l := *n.lease.Load()
 	witnesses := witnessesFor(n.table.Load(), n.Self())
 	n.addWitnesses(witnesses)
-	o, err := n.cfg.Platform.Put(ctx, lease.Kind, n.Name(), l.Version, lease.Record{Generation: l.Generation, State: lease.Held, Witnesses: witnesses})
+	era, version := n.cfg.Platform.Era(), l.Version
+	if version.Era() < era {
+		// The record of the former era may be an older one of this node, or of another process under its name.
+		if !l.Valid(now) {
+			n.revokeLease(l)
+			return
+		}
+		version = 0
+	}
+	o, err := n.cfg.Platform.Put(ctx, lease.Kind, object.NameInEra(n.Name(), era), version, lease.Record{Generation: l.Generation, State: lease.Held, Witnesses: witnesses})
 	switch {
 	case err == nil:
 		l = l.Renewed(now, o.Version, n.leaseTerms)
@@ -179,16 +177,21 @@
 // resolveRenewal reads the lease after a conflict. If the record still shows it held by this generation, only the
 // response to an earlier write was lost; otherwise the lease is lost.
 func (n *Node) resolveRenewal(ctx context.Context, l lease.Lease) {
-	r, version, err := n.readLease(ctx, n.Name())
-	if err != nil {
+	r, err := n.readLease(ctx, n.Name())
+	if err != nil || r.isFormer {
 		return
 	}
-	if r.State == lease.Held && r.Generation == l.Generation {
-		l.Version = version
-		n.addWitnesses(r.Witnesses)
+	if r.record.State == lease.Held && r.record.Generation == l.Generation {
+		l.Version = r.version
+		n.addWitnesses(r.record.Witnesses)
 		n.lease.Store(&l)
 		return
 	}
+	n.revokeLease(l)
+}
+
+// revokeLease ends the node's generation.
+func (n *Node) revokeLease(l lease.Lease) {
 	l = l.AsRevoked()
 	n.lease.Store(&l)
 	n.log.Info("lease lost; dropping all owned targets")
@@ -249,8 +252,8 @@
 	}
 	for _, m := range pruned {
 		n.deleteObject(ctx, member.Kind, m.Name)
-		if r, _, err := n.readLease(ctx, m.Name); err == nil && r.State == lease.Ended {
-			n.deleteObject(ctx, lease.Kind, m.Name)
+		if r, err := n.readLease(ctx, m.Name); err == nil && r.record.State == lease.Ended && !r.isFormer {
+			n.deleteObject(ctx, lease.Kind, object.NameInEra(m.Name, r.era))
 		}
 	}
 }
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -34,6 +34,10 @@
 	object.Store
 	// VMs returns the list of live and leaving VMs.
 	VMs(ctx context.Context) (vm.List, error)
+	// Era returns the latest era that an answer has named, 0 if none; RaiseEra records one that is known otherwise, and returns
+	// an error if a later one is known.
+	Era() uint64
+	RaiseEra(era uint64) error
 }
 
 // Config holds the settings and dependencies of a node.
@@ -80,6 +84,7 @@
 	drainingTargets map[string]time.Time
 
 	contacts       contacts
+	era            eraState
 	witness        witnessState
 	highestRelease atomic.Uint64
 	lastTick       atomic.Int64
@@ -283,6 +288,7 @@
 			n.markAllCold()
 		}
 		n.lastTick.Store(now.UnixNano())
+		n.checkEra(now)
 		n.owner.Tick(now)
 		sleep(ctx, tickInterval)
 	}
--- a/internal/fleet/node/ownership.go
+++ b/internal/fleet/node/ownership.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"sync"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/lease"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/member"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/owner"
@@ -48,21 +44,27 @@
 
 // acquire makes this node the owner of a target if the platform's record allows it.
 func (n *Node) acquire(ctx context.Context, name string, p pooledTarget) {
-	r, version, err := n.readOwner(ctx, name)
-	if err != nil {
+	read, err := n.readOwner(ctx, name)
+	r := read.record
+	if err != nil || ((read.isFormer || !read.found) && !n.mayTakeFromFormerEra(n.cfg.Now())) {
 		return
 	}
 	generation := n.lease.Load().Generation
-	ended := version != 0 && r.Holder != "" && n.isHolderLeaseEnded(ctx, r)
-	action := owner.DecideAction(version != 0, r, n.Name(), generation, ended)
+	// Whoever owned the target in a former era and lives would have written so by now.
+	ended := read.isFormer || (read.found && r.Holder != "" && n.isHolderLeaseEnded(ctx, r))
+	action := owner.DecideAction(read.found, r, n.Name(), generation, ended)
+	if action == owner.Resume && read.isFormer {
+		action = owner.Takeover
+	}
 	if action == owner.NoAction {
 		return
 	}
 	next := r.TakenBy(n.Name(), generation)
+	next.Epoch = max(next.Epoch, firstEpoch(read.era))
 	if action == owner.Resume {
 		// This node became the owner by a write whose response was lost.
 		next.Epoch = r.Epoch
-	} else if _, err := n.cfg.Platform.Put(ctx, owner.Kind, name, version, next); err != nil {
+	} else if _, err := n.cfg.Platform.Put(ctx, owner.Kind, object.NameInEra(name, read.era), read.version, next); err != nil {
 		return
 	}
 	n.startOwning(name, p, action, r, next.Epoch)
@@ -115,42 +117,38 @@
 
 // isHolderLeaseEnded reports whether the lease under which a target is held has ended.
 func (n *Node) isHolderLeaseEnded(ctx context.Context, r owner.Record) bool {
-	l, version, err := n.readLease(ctx, r.Holder)
+	read, err := n.readLease(ctx, r.Holder)
 	if err != nil {
 		return false
 	}
-	return version == 0 || l.Generation > r.Generation || (l.Generation == r.Generation && l.State == lease.Ended)
+	l := read.record
+	return !read.found || l.Generation > r.Generation || (l.Generation == r.Generation && l.State == lease.Ended)
 }
 
-func (n *Node) readOwner(ctx context.Context, name string) (owner.Record, object.Version, error) {
-	o, err := n.cfg.Platform.Get(ctx, owner.Kind, name)
-	if errors.Is(err, object.ErrNotFound) {
-		return owner.Record{}, 0, nil
-	}
-	if err != nil {
-		return owner.Record{}, 0, err
-	}
-	var r owner.Record
-	if err := json.Unmarshal(o.Value, &r); err != nil {
-		return owner.Record{}, 0, merry.Prependf(err, "owner of %s", name)
-	}
-	return r, o.Version, nil
+func (n *Node) readOwner(ctx context.Context, name string) (stored[owner.Record], error) {
+	return readInEra[owner.Record](ctx, n.cfg.Platform, owner.Kind, name)
 }
 
 // handOver stops owning a target and records its health and its running attempts for the next owner.
 func (n *Node) handOver(ctx context.Context, name string) {
-	r, version, err := n.readOwner(ctx, name)
+	read, err := n.readOwner(ctx, name)
 	if err != nil {
 		return
 	}
+	r, generation := read.record, n.lease.Load().Generation
 	p := n.catalog.Load().targets[name]
 	maxTime := n.maxAttemptTime(p.pool.Name)
+	epoch, owned := n.owner.Epoch(name)
 	health, inherited := n.owner.Drop(name)
-	if version == 0 || r.Holder != n.Name() || r.Generation != n.lease.Load().Generation {
+	if owned && (read.isFormer || !read.found) {
+		// The platform has lost the record, or has an older one.
+		r = owner.Record{Holder: n.Name(), Generation: generation, Epoch: epoch}
+	}
+	if r.Holder != n.Name() || r.Generation != generation {
 		return
 	}
 	next := r.HandedOver(health, inherited, maxTime.Milliseconds())
-	if _, err := n.cfg.Platform.Put(ctx, owner.Kind, name, version, next); err != nil {
+	if _, err := n.cfg.Platform.Put(ctx, owner.Kind, object.NameInEra(name, read.era), read.version, next); err != nil {
 		n.log.With("target", name).Warn("handing over target failed", err)
 		return
 	}
--- a/internal/fleet/node/relay.go
+++ b/internal/fleet/node/relay.go
@@ -82,13 +82,13 @@
 		},
 		Replace: func(l object.List) {
 			for _, o := range l.Items {
-				if o.Name == release.HeadName {
+				if release.IsHeadName(o.Name) {
 					apply(o.Value)
 				}
 			}
 		},
 		Apply: func(e object.Event) {
-			if e.Type == object.Put && e.Object.Name == release.HeadName {
+			if e.Type == object.Put && release.IsHeadName(e.Object.Name) {
 				apply(e.Object.Value)
 			}
 		},
--- a/internal/fleet/node/status.go
+++ b/internal/fleet/node/status.go
@@ -120,3 +120,9 @@
 
 // OwnedTargets returns the names of the targets that this node owns.
 func (n *Node) OwnedTargets() []string { return n.owner.Targets() }
+
+// FencingToken returns the fencing token with which this node may send to a target, and false if it does not own it or has no lease.
+func (n *Node) FencingToken(target string) (uint64, bool) {
+	epoch, owned := n.owner.Epoch(target)
+	return epoch, owned && n.hasLease(n.cfg.Now())
+}
--- a/internal/fleet/node/stop.go
+++ b/internal/fleet/node/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/lease"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/member"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 )
 
 const idlePollInterval = 20 * time.Millisecond
@@ -60,7 +61,11 @@
 	n.leaseMu.Unlock()
 	l := *n.lease.Load()
 	record := lease.Record{Generation: l.Generation, State: lease.Ended}
-	if _, err := n.cfg.Platform.Put(ctx, lease.Kind, n.Name(), l.Version, record); err != nil {
+	era, version := n.cfg.Platform.Era(), l.Version
+	if version.Era() < era {
+		version = 0
+	}
+	if _, err := n.cfg.Platform.Put(ctx, lease.Kind, object.NameInEra(n.Name(), era), version, record); err != nil {
 		n.log.Debug("ending the lease failed: " + err.Error())
 	}
 	m := n.Self().WithState(member.Gone, n.cfg.Now())
--- a/internal/fleet/node/witness.go
+++ b/internal/fleet/node/witness.go
@@ -43,6 +43,14 @@
 	w.latestGeneration = map[string]uint64{}
 }
 
+// beginEra forgets what the platform has shown in a former era, so that nothing is vouched for or ended on its grounds.
+func (w *witnessState) beginEra() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.confirmed = map[string]uint64{}
+	w.observations = map[string]lease.Observation{}
+}
+
 func (w *witnessState) ownWitnesses() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -170,10 +178,10 @@
 		return
 	}
 	sent := n.cfg.Now()
-	r, version, err := n.readLease(ctx, name)
-	if err == nil && version != 0 {
-		n.witness.confirm(sent, name, n.Name(), r)
-		n.witness.setSubject(name, contains(r.Witnesses, n.Name()))
+	r, err := n.readLease(ctx, name)
+	if err == nil && r.found && !r.isFormer {
+		n.witness.confirm(sent, name, n.Name(), r.record)
+		n.witness.setSubject(name, contains(r.record.Witnesses, n.Name()))
 	}
 }
 
@@ -219,11 +227,11 @@
 		if n.announceGeneration(ctx, witness) {
 			continue
 		}
-		r, version, err := n.readLease(ctx, witness)
+		r, err := n.readLease(ctx, witness)
 		if err != nil {
 			return err
 		}
-		if version != 0 && r.State == lease.Held {
+		if r.found && r.record.State == lease.Held {
 			return merry.Errorf("witness %s cannot be reached", witness)
 		}
 	}
@@ -254,11 +262,12 @@
 // checkLease reads the lease of an unresponsive node. A witness ends the lease once it has been observed without a
 // renewal for long enough.
 func (n *Node) checkLease(ctx context.Context, m member.Member) {
-	r, version, err := n.readLease(ctx, m.Name)
+	read, err := n.readLease(ctx, m.Name)
+	r := read.record
 	if err != nil || r.Generation > m.Generation {
 		return
 	}
-	if version == 0 || r.State == lease.Ended {
+	if !read.found || (r.State == lease.Ended && !(read.isFormer && r.Generation < m.Generation)) {
 		n.markGone(m)
 		return
 	}
@@ -266,14 +275,14 @@
 		// A node that no longer names this one as a witness sends no heartbeats here; that it is unresponsive
 		// means nothing.
 		n.witness.setSubject(m.Name, false)
-		n.replaceWitnesses(ctx, m.Name, r, version)
+		n.replaceWitnesses(ctx, m.Name, read)
 		return
 	}
-	if !n.witness.beginEnding(n.cfg.Now(), m.Name, r.Generation, version, n.leaseTerms) {
+	if !n.witness.beginEnding(n.cfg.Now(), m.Name, r.Generation, read.version, n.leaseTerms) {
 		return
 	}
 	r.State = lease.Ended
-	if _, err := n.cfg.Platform.Put(ctx, lease.Kind, m.Name, version, r); err != nil {
+	if _, err := n.cfg.Platform.Put(ctx, lease.Kind, object.NameInEra(m.Name, read.era), read.version, r); err != nil {
 		return
 	}
 	n.log.With("peer", m.Name).Info("ended the lease of an unresponsive node")
@@ -281,13 +290,13 @@
 }
 
 // replaceWitnesses makes this node the witness of an unresponsive node if the leases of all its witnesses have ended.
-func (n *Node) replaceWitnesses(ctx context.Context, name string, r lease.Record, version object.Version) {
-	for _, witness := range r.Witnesses {
-		w, witnessVersion, err := n.readLease(ctx, witness)
-		if err != nil || (witnessVersion != 0 && w.State == lease.Held) {
+func (n *Node) replaceWitnesses(ctx context.Context, name string, r stored[lease.Record]) {
+	for _, witness := range r.record.Witnesses {
+		w, err := n.readLease(ctx, witness)
+		if err != nil || (w.found && w.record.State == lease.Held) {
 			return
 		}
 	}
-	r.Witnesses = []string{n.Name()}
-	_, _ = n.cfg.Platform.Put(ctx, lease.Kind, name, version, r)
+	r.record.Witnesses = []string{n.Name()}
+	_, _ = n.cfg.Platform.Put(ctx, lease.Kind, object.NameInEra(name, r.era), r.version, r.record)
 }
--- a/internal/operator/process/process_test.go
+++ b/internal/operator/process/process_test.go
@@ -120,7 +120,7 @@
 	cfg.Caller.TLS = a.tlsFiles(t, name+"-caller", false)
 	cfg.Operator.TLS = a.tlsFiles(t, name+"-operator", false)
 	cfg.Peer.TLS = a.tlsFiles(t, name+"-peer", true)
-	p, err := Start(Config{Settings: cfg, Log: logging.New(logging.Config{Level: "debug", Format: "json", Out: log}), Platform: s, Seed: 1})
+	p, err := Start(Config{Settings: cfg, Log: logging.New(logging.Config{Level: "debug", Format: "json", Out: log}), Platform: s.Connect(), Seed: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/operator/publication/publication.go
+++ b/internal/operator/publication/publication.go
@@ -151,9 +151,11 @@
 	return reason
 }
 
-// CurrentHead reads the head and its version; number 0 and version 0 mean that nothing has been published yet.
+// CurrentHead reads the head and the version on which its replacement is conditional; number 0 means that nothing has been
+// published yet, and version 0 that the head has to be created.
 func (p Publisher) CurrentHead(ctx context.Context) (Head, object.Version, error) {
-	o, err := p.store().Get(ctx, release.HeadKind, release.HeadName)
+	era := object.EraOf(p.store())
+	o, writtenIn, err := object.GetInEra(ctx, p.store(), release.HeadKind, release.HeadName, era)
 	if errors.Is(err, object.ErrNotFound) {
 		return Head{}, 0, nil
 	}
@@ -164,6 +166,9 @@
 	if err := json.Unmarshal(o.Value, &h); err != nil {
 		return Head{}, 0, merry.Prepend(err, "read head")
 	}
+	if writtenIn < era {
+		return h, 0, nil
+	}
 	return h, o.Version, nil
 }
 
@@ -224,7 +229,8 @@
 	}
 	number := max(old.Number, p.HighestNumber()) + 1
 	next := Head{Head: release.Head{Number: number, ID: rec.ID, Operator: rec.Operator, Reason: rec.Reason, Chunks: chunks}, Change: rec}
-	_, err := p.store().Put(ctx, release.HeadKind, release.HeadName, version, next)
+	name := object.NameInEra(release.HeadName, object.EraOf(p.store()))
+	_, err := p.store().Put(ctx, release.HeadKind, name, version, next)
 	if err != nil {
 		if err := p.resolveWrite(ctx, next, version, err); err != nil {
 			return Head{}, p.recordRefused(ctx, rec, err)
--- a/internal/platform/object/client.go
+++ b/internal/platform/object/client.go
@@ -48,6 +48,9 @@
 // Era returns the latest era of the platform that an answer has named.
 func (c *Client) Era() uint64 { return c.eras.Latest() }
 
+// RaiseEra records an era that is known otherwise; it returns ErrEraChanged if a later one is known.
+func (c *Client) RaiseEra(era uint64) error { return c.eras.Raise(era) }
+
 // NewClient returns a client; connections are opened on demand.
 func NewClient(cfg ClientConfig) *Client {
 	// The circuit breaker would reject calls in place of the platform and so hide the end of an outage.
--- a/internal/platform/object/era.go
+++ b/internal/platform/object/era.go
@@ -82,6 +82,14 @@
 	return name + "@" + strconv.FormatUint(era, 10)
 }
 
+// EraOf returns the latest era that a store has named, 0 if it knows no eras.
+func EraOf(s Store) uint64 {
+	if e, ok := s.(interface{ Era() uint64 }); ok {
+		return e.Era()
+	}
+	return 0
+}
+
 // GetInEra reads an object that is named by its era: that of the given era, or of the latest one before it. The error is
 // ErrNotFound if there is none in any era.
 func GetInEra(ctx context.Context, s Store, kind, name string, era uint64) (o Object, writtenIn uint64, err error) {
--- a/internal/standin/store/restore.go
+++ b/internal/standin/store/restore.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/vm"
 )
 
 // Copy is the content of a store at one time.
@@ -159,3 +160,14 @@
 	}
 	return c.noteFailure(err)
 }
+
+// VMs returns the list of VMs, whose number rises over all eras.
+func (c *Session) VMs(ctx context.Context) (vm.List, error) {
+	l, err := c.Store.VMs(ctx)
+	if err != nil {
+		return l, err
+	}
+	era := c.Store.Era()
+	l.Revision = uint64(object.NewVersion(era, l.Revision))
+	return l, c.eras.Raise(era)
+}
