--- a/internal/bench/testbed/testbed.go
+++ b/internal/bench/testbed/testbed.go
@@ -354,7 +354,7 @@
 
 // PublishWith writes the testbed's objects to the platform and publishes them with the given options.
 func (b *Testbed) PublishWith(ctx context.Context, options publication.Options) (publication.Result, error) {
-	editor := process.NewEditor(b.Store)
+	editor := process.NewEditor(b.Store.Connect())
 	for _, o := range b.Set.Objects() {
 		if err := b.writeObject(ctx, editor, o); err != nil {
 			return publication.Result{}, err
--- a/internal/fleet/node/catalog.go
+++ b/internal/fleet/node/catalog.go
@@ -250,13 +250,13 @@
 	if n.cfg.Now().Sub(n.contacts.lastPlatform()) < 3*n.cfg.Settings.Timing.IsolationTimeout.Duration()/4 {
 		return
 	}
-	o, _, err := object.GetInEra(ctx, n.cfg.Platform, release.HeadKind, release.HeadName, n.cfg.Platform.Era())
+	o, err := object.GetInEra(ctx, n.cfg.Platform, release.HeadKind, release.HeadName)
 	if errors.Is(err, object.ErrNotFound) {
 		n.contacts.recordPlatform(n.cfg.Now())
 		return
 	}
 	if err == nil {
-		err = n.applyHead(ctx, o.Value)
+		err = n.applyHead(ctx, o.Object.Value)
 	}
 	if err != nil {
 		n.log.Debug("reading the platform's head failed: " + err.Error())
--- a/internal/fleet/node/era.go
+++ b/internal/fleet/node/era.go
@@ -206,19 +206,18 @@
 
 // readInEra reads a record that is named by its era.
 func readInEra[R any](ctx context.Context, p Platform, kind, name string) (stored[R], error) {
-	era := p.Era()
-	o, writtenIn, err := object.GetInEra(ctx, p, kind, name, era)
+	o, err := object.GetInEra(ctx, p, kind, name)
 	if errors.Is(err, object.ErrNotFound) {
-		return stored[R]{era: era}, nil
+		return stored[R]{era: o.Era}, nil
 	}
 	if err != nil {
 		return stored[R]{}, err
 	}
-	s := stored[R]{found: true, isFormer: writtenIn < era, era: era}
+	s := stored[R]{found: true, isFormer: o.IsFormer(), era: o.Era}
 	if !s.isFormer {
-		s.version = o.Version
+		s.version = o.Object.Version
 	}
-	if err := json.Unmarshal(o.Value, &s.record); err != nil {
+	if err := json.Unmarshal(o.Object.Value, &s.record); err != nil {
 		return stored[R]{}, merry.Prependf(err, "%s %s", kind, name)
 	}
 	return s, nil
--- a/internal/operator/publication/publication.go
+++ b/internal/operator/publication/publication.go
@@ -20,6 +20,8 @@
 type Head struct {
 	release.Head
 	Change audit.Record `json:"change"`
+	// era is the platform's era in which this publication has written the head.
+	era uint64
 }
 
 // Options are an operator's options for publishing or rolling back.
@@ -99,6 +101,9 @@
 	if err := p.writeChunks(ctx, current, chunks); err != nil {
 		return Result{}, err
 	}
+	if err := p.confirmHead(ctx, next); err != nil {
+		return Result{}, err
+	}
 	r, err := current.Build(next.Head, chunks)
 	return Result{Number: next.Number, Changes: changes, Release: r}, err
 }
@@ -133,6 +138,9 @@
 	if err != nil {
 		return Result{}, err
 	}
+	if err := p.confirmHead(ctx, next); err != nil {
+		return Result{}, err
+	}
 	r, err := earlier.Build(next.Head, nil)
 	return Result{Number: next.Number, Changes: release.Diff(current.Set, earlier.Set), Release: r}, err
 }
@@ -154,8 +162,7 @@
 // CurrentHead reads the head and the version on which its replacement is conditional; number 0 means that nothing has been
 // published yet, and version 0 that the head has to be created.
 func (p Publisher) CurrentHead(ctx context.Context) (Head, object.Version, error) {
-	era := object.EraOf(p.store())
-	o, writtenIn, err := object.GetInEra(ctx, p.store(), release.HeadKind, release.HeadName, era)
+	o, err := object.GetInEra(ctx, p.store(), release.HeadKind, release.HeadName)
 	if errors.Is(err, object.ErrNotFound) {
 		return Head{}, 0, nil
 	}
@@ -163,13 +170,13 @@
 		return Head{}, 0, merry.Prepend(err, "read head")
 	}
 	var h Head
-	if err := json.Unmarshal(o.Value, &h); err != nil {
+	if err := json.Unmarshal(o.Object.Value, &h); err != nil {
 		return Head{}, 0, merry.Prepend(err, "read head")
 	}
-	if writtenIn < era {
+	if o.IsFormer() {
 		return h, 0, nil
 	}
-	return h, o.Version, nil
+	return h, o.Object.Version, nil
 }
 
 // LoadRelease reads a release with all its chunks.
@@ -229,8 +236,8 @@
 	}
 	number := max(old.Number, p.HighestNumber()) + 1
 	next := Head{Head: release.Head{Number: number, ID: rec.ID, Operator: rec.Operator, Reason: rec.Reason, Chunks: chunks}, Change: rec}
-	name := object.NameInEra(release.HeadName, object.EraOf(p.store()))
-	_, err := p.store().Put(ctx, release.HeadKind, name, version, next)
+	next.era = object.EraOf(p.store())
+	_, err := p.store().Put(ctx, release.HeadKind, object.NameInEra(release.HeadName, next.era), version, next)
 	if err != nil {
 		if err := p.resolveWrite(ctx, next, version, err); err != nil {
 			return Head{}, p.recordRefused(ctx, rec, err)
@@ -243,6 +250,21 @@
 	return next, nil
 }
 
+// confirmHead returns an error if the platform has come back from an older copy since a head was written, without that head.
+func (p Publisher) confirmHead(ctx context.Context, h Head) error {
+	if object.EraOf(p.store()) == h.era {
+		return nil
+	}
+	current, _, err := p.CurrentHead(ctx)
+	if err != nil {
+		return merry.Prependf(err, "publish: whether release %d is kept is not known", h.Number)
+	}
+	if current.ID != h.ID {
+		return merry.Errorf("publish: the platform came back from an older copy without release %d; publish again", h.Number)
+	}
+	return nil
+}
+
 func (p Publisher) resolveWrite(ctx context.Context, next Head, version object.Version, err error) error {
 	current, currentVersion, readErr := p.CurrentHead(ctx)
 	switch {
--- a/internal/platform/object/era.go
+++ b/internal/platform/object/era.go
@@ -90,11 +90,33 @@
 	return 0
 }
 
-// GetInEra reads an object that is named by its era: that of the given era, or of the latest one before it. The error is
-// ErrNotFound if there is none in any era.
-func GetInEra(ctx context.Context, s Store, kind, name string, era uint64) (o Object, writtenIn uint64, err error) {
+// InEra is an object that is named by the era in which it was written.
+type InEra struct {
+	Object Object
+	// WrittenIn is the era of its name, Era that in which it was read.
+	WrittenIn uint64
+	Era       uint64
+}
+
+// IsFormer reports whether the object was written in an earlier era than that in which it was read.
+func (o InEra) IsFormer() bool { return o.WrittenIn < o.Era }
+
+// GetInEra reads the object with a name in the store's latest era, or in the latest one before it; the error is ErrNotFound, with
+// the era set, if there is none in any era.
+func GetInEra(ctx context.Context, s Store, kind, name string) (InEra, error) {
+	for {
+		era := EraOf(s)
+		o, writtenIn, err := getInEraUpTo(ctx, s, kind, name, era)
+		// The first answer that a client gets, and one after a restore, names another era than that which was asked for.
+		if EraOf(s) == era {
+			return InEra{Object: o, WrittenIn: writtenIn, Era: era}, err
+		}
+	}
+}
+
+func getInEraUpTo(ctx context.Context, s Store, kind, name string, era uint64) (Object, uint64, error) {
 	for ; ; era-- {
-		o, err = s.Get(ctx, kind, NameInEra(name, era))
+		o, err := s.Get(ctx, kind, NameInEra(name, era))
 		if err == nil || era == 0 || !errors.Is(err, ErrNotFound) {
 			return o, era, err
 		}
