Write owner records again until the platform has them after a restore

Cause: found by reading. After the platform has come back from an older copy, each owner wrote the record of its targets again once. A write that failed was not repeated, so the node owned a target without a record, and once every node knew the era another one could take the target while its owner still sent to it (until that owner saw that it no longer ranked first). A target taken in the moment in which the era began had no record either. Ruled out: leases (renewed each third of their length, in the era of the answer) and ledger heads (written by takeOver or not held at all).

A target without a record in this era is taken only when every live node has said so. A target taken across a change of the era is dropped and taken again. Nodes that have not said so are asked once a heartbeat, not once for each target and heartbeat.

Not measured: the loop at 340 nodes.

--- a/internal/bench/testbed/platformlink.go
+++ b/internal/bench/testbed/platformlink.go
@@ -11,7 +11,10 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/standin/store"
 )
 
-var errCut = merry.Sentinel("connection to the platform is cut")
+var (
+	errCut     = merry.Sentinel("connection to the platform is cut")
+	errRefused = merry.Sentinel("the platform refuses to write")
+)
 
 // PlatformLink is one node's connection to the platform, which can be cut.
 type PlatformLink struct {
@@ -19,10 +22,13 @@
 	cut       atomic.Bool
 	cutSignal atomic.Pointer[chan struct{}]
 	calls     atomic.Int64
+	// refusedKind is the kind of object whose writes fail, "" for none.
+	refusedKind atomic.Value
 }
 
 func newPlatformLink(s *store.Store) *PlatformLink {
 	l := &PlatformLink{store: s.Connect()}
+	l.refusedKind.Store("")
 	open := make(chan struct{})
 	l.cutSignal.Store(&open)
 	return l
@@ -39,6 +45,9 @@
 	}
 }
 
+// RefuseWrites makes the node's writes of a kind of object fail, "" for none.
+func (l *PlatformLink) RefuseWrites(kind string) { l.refusedKind.Store(kind) }
+
 // CallCount returns the number of calls that the node has made.
 func (l *PlatformLink) CallCount() int64 { return l.calls.Load() }
 
@@ -87,6 +96,9 @@
 		return object.Object{}, err
 	}
 	defer cancel()
+	if l.refusedKind.Load() == kind {
+		return object.Object{}, errRefused
+	}
 	return l.store.Put(ctx, kind, name, version, value)
 }
 
--- a/internal/bench/testbed/restore_test.go
+++ b/internal/bench/testbed/restore_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/owner"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/publication"
+	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/outcome"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/callerapi"
 )
@@ -147,3 +150,43 @@
 		}
 	}
 }
+
+// TestTargetsHaveOneOwnerIfWritesFailAfterRestore refuses the writes of owner records after a restore, while a node joins that
+// ranks first for some of the targets. Every owner must have written its records in the end, and no target two owners meanwhile.
+func TestTargetsHaveOneOwnerIfWritesFailAfterRestore(t *testing.T) {
+	b := start(t, Config{})
+	time.Sleep(witnessTime)
+	joining := b.NodeNames()[0]
+	b.KillNode(joining)
+	targets := len(b.Store.Copy().Objects(owner.Kind))
+	waitFor(t, "the targets of the killed node are owned", 20*time.Second, func() bool { return len(b.owners()) >= targets })
+	for _, n := range b.RunningNodes() {
+		n.Platform.RefuseWrites(owner.Kind)
+	}
+	empty := b.Store.Copy().Without(owner.Kind)
+	b.Store.Restore(empty)
+	if err := b.StartNode(joining); err != nil {
+		t.Fatal(err)
+	}
+	for began := time.Now(); time.Since(began) < 8*time.Second; time.Sleep(2 * time.Millisecond) {
+		for target, names := range b.owners() {
+			if len(names) > 1 {
+				t.Fatalf("%s after the restore: target %s has the owners %v, want one", time.Since(began), target, names)
+			}
+		}
+	}
+	for _, n := range b.RunningNodes() {
+		n.Platform.RefuseWrites("")
+	}
+	waitFor(t, "every target has an owner with a record of this era", 20*time.Second, func() bool {
+		owners := b.owners()
+		for target, names := range owners {
+			o, err := b.Store.Get(context.Background(), owner.Kind, object.NameInEra(target, b.Store.Era()))
+			var r owner.Record
+			if err != nil || json.Unmarshal(o.Value, &r) != nil || len(names) != 1 || r.Holder != names[0] {
+				return false
+			}
+		}
+		return len(owners) >= targets
+	})
+}
--- a/internal/fleet/node/digest.go
+++ b/internal/fleet/node/digest.go
@@ -112,6 +112,7 @@
 		Ready:   n.Ready(),
 		Wardens: n.witness.ownWitnesses(),
 		Era:     n.era.latest(),
+		Written: n.era.writtenIn(),
 	}
 	if other == nil {
 		return d
@@ -160,7 +161,7 @@
 	for _, m := range d.Members {
 		rows = append(rows, memberFromProto(m))
 	}
-	n.learnEra(rows[0].Name, d.Era)
+	n.learnEra(rows[0].Name, d.Era, d.Written)
 	n.mergeMembers(rows)
 	n.contacts.recordPeer(now, rows[0].Name, rows[0].Datacentre)
 	n.witness.setSubject(rows[0].Name, contains(d.Wardens, n.Name()))
--- a/internal/fleet/node/ownership.go
+++ b/internal/fleet/node/ownership.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/lease"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/member"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/owner"
@@ -22,6 +26,7 @@
 	c, r := n.catalog.Load(), n.routes.Load()
 	slots := make(chan struct{}, maxOwnershipCalls)
 	var calls sync.WaitGroup
+	var waitsForEra atomic.Bool
 	run := func(f func()) {
 		slots <- struct{}{}
 		calls.Go(func() {
@@ -31,7 +36,11 @@
 	}
 	for name, preferred := range r.preferredOwner {
 		if _, owned := n.owner.Epoch(name); !owned && preferred == n.Name() {
-			run(func() { n.acquire(ctx, name, c.targets[name]) })
+			run(func() {
+				if errors.Is(n.acquire(ctx, name, c.targets[name]), errEraUnsettled) {
+					waitsForEra.Store(true)
+				}
+			})
 		}
 	}
 	for _, name := range n.owner.Targets() {
@@ -40,15 +49,23 @@
 		}
 	}
 	calls.Wait()
+	if waitsForEra.Load() {
+		n.askEras(ctx)
+	}
 }
 
+var errEraUnsettled = merry.Sentinel("another node may own the target without a record in this era")
+
 // acquire makes this node the owner of a target if the platform's record allows it.
-func (n *Node) acquire(ctx context.Context, name string, p pooledTarget) {
+func (n *Node) acquire(ctx context.Context, name string, p pooledTarget) error {
 	read, err := n.readOwner(ctx, name)
-	r := read.record
-	if err != nil || ((read.isFormer || !read.found) && !n.mayTakeFromFormerEra(n.cfg.Now())) {
-		return
+	if err != nil {
+		return err
 	}
+	if (read.isFormer || !read.found) && !n.mayTakeFromFormerEra(n.cfg.Now()) {
+		return errEraUnsettled
+	}
+	r := read.record
 	generation := n.lease.Load().Generation
 	// Whoever owned the target in a former era and lives would have written so by now.
 	ended := read.isFormer || (read.found && r.Holder != "" && n.isHolderLeaseEnded(ctx, r))
@@ -57,7 +74,7 @@
 		action = owner.Takeover
 	}
 	if action == owner.NoAction {
-		return
+		return nil
 	}
 	next := r.TakenBy(n.Name(), generation)
 	next.Epoch = max(next.Epoch, firstEpoch(read.era))
@@ -65,9 +82,14 @@
 		// This node became the owner by a write whose response was lost.
 		next.Epoch = r.Epoch
 	} else if _, err := n.cfg.Platform.Put(ctx, owner.Kind, object.NameInEra(name, read.era), read.version, next); err != nil {
-		return
+		return err
 	}
 	n.startOwning(name, p, action, r, next.Epoch)
+	if n.cfg.Platform.Era() != read.era {
+		// The era that began meanwhile did not find this target among the owned ones.
+		n.owner.Drop(name)
+	}
+	return nil
 }
 
 func (n *Node) startOwning(name string, p pooledTarget, action owner.Action, former owner.Record, epoch uint64) {
--- a/internal/standin/store/restore.go
+++ b/internal/standin/store/restore.go
@@ -36,6 +36,16 @@
 	return c
 }
 
+// Objects returns the objects of a kind by name.
+func (c Copy) Objects(kind string) map[string]object.Object { return c.objects[kind] }
+
+// Without returns a copy that lacks the objects of a kind.
+func (c Copy) Without(kind string) Copy {
+	c.objects = maps.Clone(c.objects)
+	delete(c.objects, kind)
+	return c
+}
+
 // Restore replaces the store's content by a copy: what was written since is gone, and its revisions are given out again, in a
 // new era. Open watches end.
 func (s *Store) Restore(c Copy) {
