Log the parts of a prompt and the run of the target with each failed attempt

Change: "attempt failed" has started (the run), running (more requests of the node there) and parts; "request" has parts.

--- a/internal/serving/call/call.go
+++ b/internal/serving/call/call.go
@@ -56,6 +56,18 @@
 	return p.Parts[last].ID, tokens
 }
 
+// maxLoggedParts bounds the parts of a prompt that a log line names.
+const maxLoggedParts = 12
+
+// PartIDs returns the IDs of the first parts in the order of the prompt, for the log.
+func (p Prompt) PartIDs() []string {
+	ids := make([]string, 0, min(len(p.Parts), maxLoggedParts))
+	for _, part := range p.Parts[:min(len(p.Parts), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // ForwardOptions is what a node adds to a call when it forwards it to a target.
 type ForwardOptions struct {
 	// Target is the ID of the intended target.
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -291,6 +291,7 @@
 		"request": rs.ID, "target": t.ID, "status": status, "not_run": flags.NotRun, "sealed": flags.Signed,
 		"reason": out.reason, "avoid_ms": backoff.Milliseconds(),
 	}
+	g.addCrashContext(fields, rs, t)
 	if out.err != nil {
 		fields[logrus.ErrorKey] = out.err.Error()
 	}
@@ -298,6 +299,16 @@
 	g.cfg.Log.WithFields(fields).Warn("gateway: attempt failed")
 }
 
+// addCrashContext adds what relates failed attempts to the crash of a target: its run, how many more requests of this node
+// were there, and what the prompt is composed of.
+func (g *Gateway) addCrashContext(fields logrus.Fields, rs *requestState, t registry.Target) {
+	fields["started"] = t.StartedAt
+	fields["running"] = g.loads.running(t.ID)
+	if len(rs.Prompt.Parts) > 0 {
+		fields["parts"] = rs.Prompt.PartIDs()
+	}
+}
+
 // sendFailure returns the result of a send that got no response.
 func (g *Gateway) sendFailure(ctx context.Context, r *http.Request, rs *requestState, rw *responseWriter, t registry.Target, err error) sendResult {
 	now := g.cfg.Now()
@@ -306,9 +317,9 @@
 	unsent := errors.Is(err, connection.ErrUnsent)
 	if !callerGone {
 		g.cfg.Connections.CloseIdle(t.Address)
-		g.cfg.Log.WithError(err).WithFields(logrus.Fields{
-			"request": rs.ID, "target": t.ID, "sent": !unsent, "avoid_ms": backoff.Milliseconds(),
-		}).Warn("gateway: attempt failed")
+		fields := logrus.Fields{"request": rs.ID, "target": t.ID, "sent": !unsent, "avoid_ms": backoff.Milliseconds()}
+		g.addCrashContext(fields, rs, t)
+		g.cfg.Log.WithError(err).WithFields(fields).Warn("gateway: attempt failed")
 	}
 	if callerGone {
 		return sendResult{final: cancellation()}
--- a/internal/wire/gateway/load.go
+++ b/internal/wire/gateway/load.go
@@ -80,6 +80,16 @@
 	return true
 }
 
+// running returns the number of this node's requests at a target.
+func (l targetLoads) running(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if x, ok := l.byID[id]; ok {
+		return x.running
+	}
+	return 0
+}
+
 // recordPromptRead records that a target has read the prompt of a request.
 func (l targetLoads) recordPromptRead(now time.Time, id string, tokens int) {
 	l.mu.Lock()
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -142,6 +142,9 @@
 	rs.log["status"] = o.status
 	rs.log["ms"] = took.Milliseconds()
 	rs.log["sends"] = rs.sends
+	if len(rs.Prompt.Parts) > 0 {
+		rs.log["parts"] = rs.Prompt.PartIDs()
+	}
 	if rs.table != nil {
 		rs.log["version"] = rs.table.Version
 	}
