Cut responses whose header or event does not end

Callers saw: nothing yet; the users announced targets that send bytes that are no answer without end, in a head or a body. A node collected them until the request's time was over, and passed blank lines of a stream on. Cause: the header of a response was read without a bound, and the bound of an event held for resumable streams only and not for lines outside events. Change: a header ends after 256 kB, a stream after 1 MB without a complete event (16 MB if it declares another content type); the connection is closed and the request goes to another target if it may.

--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -37,6 +37,8 @@
 	// maxSkippedBytes bounds the body of a mismatched response that is skipped.
 	maxSkippedBytes = 4 << 20
 	readBufferBytes = 8 << 10
+	// maxHeadBytes bounds a response up to the end of its header.
+	maxHeadBytes = 256 << 10
 )
 
 // The ways in which a send can fail.
@@ -128,8 +130,31 @@
 	return err
 }
 
+// headReader reads from a connection, and fails if a header is longer than maxHeadBytes.
+type headReader struct {
+	netConn net.Conn
+	// inHead is set while a header is read, of which left bytes may follow.
+	inHead bool
+	left   int
+}
+
+var errHeadTooLong = errors.New("response header is too long")
+
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.inHead {
+		return h.netConn.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.netConn.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
 type conn struct {
 	netConn   net.Conn
+	head      *headReader
 	reader    *bufio.Reader
 	idleUntil time.Time
 	// keepAlive is how long the target keeps the connection when it is idle.
@@ -220,7 +245,8 @@
 }
 
 func newConn(n net.Conn) *conn {
-	return &conn{netConn: n, reader: bufio.NewReaderSize(n, readBufferBytes), keepAlive: defaultKeepAlive}
+	head := &headReader{netConn: n}
+	return &conn{netConn: n, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), keepAlive: defaultKeepAlive}
 }
 
 // Send sends a request and reads the response header; the connection is closed if ctx ends before the body does.
@@ -280,7 +306,9 @@
 // readResponse reads up to the header of the response that belongs to r.
 func (c *conn) readResponse(r Request) (*http.Response, error) {
 	for range maxMismatched {
+		c.head.inHead, c.head.left = true, maxHeadBytes
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.head.inHead = false
 		if err != nil {
 			return nil, err
 		}
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -20,7 +20,7 @@
 	maxBufferedBytes = 16 << 20
 	// readSize is how many bytes of a stream are read at once.
 	readSize = 16 << 10
-	// maxEventBytes bounds one event of a resumable stream.
+	// maxEventBytes bounds what a stream may bring without completing an event.
 	maxEventBytes = 1 << 20
 )
 
@@ -65,6 +65,14 @@
 	}
 }
 
+// maxEventless returns how many bytes a response may have without completing an event.
+func maxEventless(h http.Header) int {
+	if h.Get("Content-Type") != "" && !eventstream.IsStream(h) {
+		return maxBufferedBytes
+	}
+	return maxEventBytes
+}
+
 // endError returns why a stream that was read without an error is truncated, or nil. Targets may omit the content type
 // on a streaming route.
 func (b receivedBody) endError(h http.Header) error {
@@ -135,12 +143,18 @@
 func (rw *responseWriter) stream(ctx context.Context, r *http.Request, resp *connection.Response, resumable bool) sendResult {
 	buf := make([]byte, readSize)
 	var pending []byte
+	eventless := 0
 	rw.received = receivedBody{framing: resp.Framing, events: &eventstream.Progress{}}
 	for {
 		n, err := resp.Body.Read(buf)
 		rw.received.bytes += n
 		var boundary int
+		events := rw.received.events.Events
 		*rw.received.events, boundary = rw.received.events.With(buf[:n])
+		eventless += n
+		if rw.received.events.Events > events {
+			eventless = 0
+		}
 		if n > 0 {
 			rw.start(resp, resumable)
 			out := buf[:n]
@@ -156,7 +170,7 @@
 			if e := rw.write(out); e != nil {
 				return sendResult{final: cancellation()}
 			}
-			if len(pending) > maxEventBytes {
+			if eventless > maxEventless(resp.Header) {
 				err = errors.New("event is too large")
 			}
 		}
