Take an unframed answer whose target has crashed as truncated

Change: before such an answer counts as complete, the target must still accept a connection, or be known to stop. Conclusion: what stays open is a target that breaks such an answer off between two events and lives on: nothing tells it from a complete one.

--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -270,6 +270,7 @@
 		g.recordFirstByte(rs, g.cfg.Now().Sub(started))
 		g.releaseResults(rs)
 	}
+	rw.hasCrashed = func() bool { return g.hasCrashed(ctx, t) }
 	flags := g.cfg.Headers.ParseResponseFlags(rs.ID, resp.Status, resp.Header)
 	rw.received = receivedBody{framing: resp.Framing}
 	result := g.processResponse(ctx, r, rs, rw, resp, flags)
@@ -381,8 +382,7 @@
 	}
 	canRetry := rs.sends+1 < rs.route.MaxAttempts && rs.route.IsRetryable()
 	if resp.Status >= 500 && canRetry {
-		buffered, err := bufferResponse(resp)
-		rw.received.bytes = len(buffered.body)
+		buffered, err := rw.bufferResponse(resp)
 		if err == nil {
 			return sendResult{fallback: buffered.outcome(rw.w), mayHaveRun: true, countsAsAttempt: true}
 		}
@@ -391,8 +391,7 @@
 	if rs.route.RetryPolicy == route.Streaming && success {
 		return rw.stream(ctx, r, resp, rs.route.Resumable)
 	}
-	buffered, err := bufferResponse(resp)
-	rw.received.bytes = len(buffered.body)
+	buffered, err := rw.bufferResponse(resp)
 	if err != nil {
 		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved) {
 			return sendResult{final: g.timeout(rw, true)}
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -35,6 +35,8 @@
 	// onFirstByte is also called then.
 	stopMove    func()
 	onFirstByte func()
+	// hasCrashed reports whether the target of the current response is gone.
+	hasCrashed func() bool
 	// received is what the last target has sent.
 	received receivedBody
 }
@@ -65,6 +67,13 @@
 	}
 }
 
+var errCrashed = errors.New("connection was closed and the target is gone")
+
+// endsWithCrash reports whether a response that only the end of its connection marks as complete ended with its target.
+func (rw *responseWriter) endsWithCrash(resp *connection.Response) bool {
+	return resp.Framing == connection.FramedByClose && rw.hasCrashed()
+}
+
 // maxEventless returns how many bytes a response may have without completing an event.
 func maxEventless(h http.Header) int {
 	if h.Get("Content-Type") != "" && !eventstream.IsStream(h) {
@@ -90,7 +99,7 @@
 }
 
 // bufferResponse reads a response to its end.
-func bufferResponse(resp *connection.Response) (bufferedResponse, error) {
+func (rw *responseWriter) bufferResponse(resp *connection.Response) (bufferedResponse, error) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err == nil && len(data) > maxBufferedBytes {
 		err = errors.New("response is too large")
@@ -99,6 +108,10 @@
 		events, _ := eventstream.Progress{}.With(data)
 		err = events.EndError(resp.Framing != connection.FramedByClose)
 	}
+	if err == nil && rw.endsWithCrash(resp) {
+		err = errCrashed
+	}
+	rw.received.bytes = len(data)
 	return bufferedResponse{status: resp.Status, header: resp.Header, body: data}, err
 }
 
@@ -179,6 +192,9 @@
 		}
 		if err == io.EOF {
 			err = rw.received.endError(resp.Header)
+			if err == nil && rw.endsWithCrash(resp) {
+				err = errCrashed
+			}
 		}
 		if err == nil {
 			rw.start(resp, resumable)
