Keep reports of crashes beside the nodes' entries, and list these again when history is lost

Cause: a kind of its own for the reports cost each node one more list at its start and one more watch: TestStartOfFleetMakesFewCalls 152 calls (bound 139), TestFollowersLeaveRelaysThatStoreRejects 30 (27), TestFollowersStayWhileStoreLosesHistory 44 (40). The watch of the nodes' entries is open for 10 s, and the store does not answer it when it loses its history, so a report could be 10 s late. Change: a report is an object crashes.NODE of the nodes' kind, which every node reads before it serves. A watch that shows a loss of history makes the nodes' objects be listed again. An operator's deletion holds against a write that was under way. Measured: all three tests pass their bounds again; TestOperatorLiftsQuarantine failed while the deleted report was written again. Conclusion: reports cost calls only when targets crash.

--- a/cmd/lacewingdrift/platform.go
+++ b/cmd/lacewingdrift/platform.go
@@ -49,9 +49,9 @@
 		Settings:  s,
 		ReadyPath: platform.ReadyPath,
 		Platform: gatewaynode.Adapter{
-			ConfigKind: platform.KindConfig, TargetKind: platform.KindTargets, EvacuationKind: platform.KindEvacuations, NodeKind: platform.KindNodes, CrashKind: platform.KindCrashes,
+			ConfigKind: platform.KindConfig, TargetKind: platform.KindTargets, EvacuationKind: platform.KindEvacuations, NodeKind: platform.KindNodes,
 			ConfigName: platform.ConfigName, ParseTable: platform.ParseTable, ParseTarget: platform.ParseTarget, ParseNode: platform.ParseNode, NodeEntry: platform.NodeEntry,
-			ParseCrashReport: platform.ParseCrashReport, CrashReport: platform.CrashReport,
+			CrashReportName: platform.CrashReportName, CrashReportNode: platform.CrashReportNode, ParseCrashReport: platform.ParseCrashReport, CrashReport: platform.CrashReport,
 		},
 		Store:       platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, OnCall: meter.CountStoreCall}),
 		Meter:       meter,
--- a/internal/operator/gatewaynode/objects.go
+++ b/internal/operator/gatewaynode/objects.go
@@ -244,8 +244,11 @@
 	v.nodes = map[string]registry.Node{}
 	v.mu.Unlock()
 	for _, o := range l.Items {
-		v.addNode(o)
+		if v.cfg.Platform.CrashReportNode(o.Name) == "" {
+			v.addNode(o)
+		}
 	}
+	v.crashes.replaceReports(l)
 	if v.restored {
 		v.mu.Lock()
 		v.holdMissingNodes(former)
@@ -256,8 +259,12 @@
 	v.listOnce.Do(func() { close(v.nodesListed) })
 }
 
-// applyNode records a node's change and puts it in the registry together with those that follow within coalesceWindow.
+// applyNode takes in a node's report of crashes, or records a node's change and puts it in the registry together with those that follow within coalesceWindow.
 func (v *fleetView) applyNode(e object.Event) {
+	if node := v.cfg.Platform.CrashReportNode(e.Object.Name); node != "" {
+		v.crashes.applyReport(node, e)
+		return
+	}
 	if e.Type == object.Delete {
 		v.mu.Lock()
 		delete(v.nodes, e.Object.Name)
--- a/internal/operator/gatewaynode/quarantine.go
+++ b/internal/operator/gatewaynode/quarantine.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -79,10 +78,10 @@
 	}
 }
 
-// write writes the node's report until the store has it.
+// write writes the node's report until the store has it, or an operator has deleted it.
 func (c *crashReporter) write(ctx context.Context) {
 	cfg := c.node.cfg
-	kind, name := cfg.Platform.CrashKind, cfg.Settings.Name
+	kind, name := cfg.Platform.NodeKind, cfg.Platform.CrashReportName(cfg.Settings.Name)
 	version := c.node.view.cachedVersion(kind, name)
 	for ctx.Err() == nil {
 		report := c.keeper.Own(cfg.Now())
@@ -94,9 +93,12 @@
 			c.written = report
 			return
 		case errors.As(err, &conflict):
-			c.merge(conflict.Current)
+			c.merge(cfg.Settings.Name, conflict.Current)
 			version = conflict.Current.Version
 			continue
+		case errors.Is(err, object.ErrNotFound) && version.Era() == object.EraOf(cfg.Store):
+			c.remove(cfg.Settings.Name, version)
+			return
 		case errors.Is(err, object.ErrNotFound):
 			version = 0
 			continue
@@ -106,55 +108,53 @@
 	}
 }
 
-// merge takes in a report from the store.
-func (c *crashReporter) merge(o object.Object) {
+// merge takes in a node's report from the store.
+func (c *crashReporter) merge(node string, o object.Object) {
 	r, err := c.node.cfg.Platform.ParseCrashReport(o)
 	if err != nil {
 		c.node.view.logUnreadable(o, err)
 		return
 	}
-	c.keeper.Merge(c.node.cfg.Now(), o.Name, r)
+	c.keeper.Merge(c.node.cfg.Now(), node, r)
 }
 
-// replaceReports takes in all nodes' reports. A report that is missing was deleted by an operator, unless the list is the
-// first one after the store came back from an older copy; then its node writes it again.
+// replaceReports takes in the reports in a list of the nodes' objects. A report that is missing was deleted by an operator,
+// unless the list is the first one after the store came back from an older copy; then its node writes it again.
 func (c *crashReporter) replaceReports(l object.List) {
-	for _, o := range l.Items {
-		c.merge(o)
-	}
 	v, self := c.node.view, c.node.cfg.Settings.Name
-	isListed := func(name string) bool {
-		return slices.ContainsFunc(l.Items, func(o object.Object) bool { return o.Name == name })
+	listed := map[string]bool{}
+	for _, o := range l.Items {
+		if node := c.node.cfg.Platform.CrashReportNode(o.Name); node != "" {
+			listed[node] = true
+			c.merge(node, o)
+		}
 	}
-	for _, name := range c.keeper.Board().Nodes() {
+	for _, node := range c.keeper.Board().Nodes() {
 		switch {
-		case isListed(name):
-		case name != self && !v.restored:
-			c.remove(name, l.Version)
-		case name == self && v.restored:
+		case node == self && v.restored:
 			offer(c.due, quarantine.Immediate)
-		case name == self:
+		case listed[node] || v.restored:
+		case node != self:
+			c.remove(node, l.Version)
+		default:
 			if own := v.ownReport.Load(); own != nil && own.version < l.Version {
-				c.remove(name, l.Version)
+				c.remove(node, l.Version)
 			}
 		}
 	}
-	if v.restored && isListed(self) {
-		offer(c.due, quarantine.Immediate)
-	}
 }
 
-func (c *crashReporter) applyReport(e object.Event) {
+func (c *crashReporter) applyReport(node string, e object.Event) {
 	if e.Type == object.Delete {
-		c.remove(e.Object.Name, e.Object.Version)
+		c.remove(node, e.Object.Version)
 		return
 	}
-	c.merge(e.Object)
+	c.merge(node, e.Object)
 }
 
-func (c *crashReporter) remove(name string, version object.Version) {
-	c.node.cfg.Log.WithFields(logrus.Fields{"peer": name, "revision": version.Revision()}).Info("fleet: report of crashes was deleted")
-	c.keeper.Remove(c.node.cfg.Now(), name)
+func (c *crashReporter) remove(node string, version object.Version) {
+	c.node.cfg.Log.WithFields(logrus.Fields{"peer": node, "revision": version.Revision()}).Info("fleet: report of crashes was deleted")
+	c.keeper.Remove(c.node.cfg.Now(), node)
 }
 
 // logVerdicts logs each part that is put in quarantine or lifted from it.
--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -32,6 +32,8 @@
 	// the others look for one.
 	settleTime  = 600 * time.Millisecond
 	roleTimeout = 1200 * time.Millisecond
+	// lossSpread is longer than any watch but that of the nodes' objects.
+	lossSpread = 3 * time.Second
 )
 
 // Reasons for the end of a watch or a relay that are not failures of the store.
@@ -40,6 +42,9 @@
 	errRelayFollowed = merry.Sentinel("a relay supplies the changes")
 	// errRelayLost makes the informer list again because the relay no longer supplies changes.
 	errRelayLost = fmt.Errorf("the relay is lost: %w", object.ErrGone)
+	// errHistoryLost ends the watch of the nodes' objects, which the store would hold open for long, when another watch shows
+	// that the store has lost its history.
+	errHistoryLost = fmt.Errorf("another watch has lost its history: %w", object.ErrGone)
 	// errRelayStale ends the use of a relay that is unresponsive or has had no contact with the store for too long.
 	errRelayStale = merry.Sentinel("relay is stale")
 	// errSubstituteEnded ends the use of a substitute, so that the node's own relays, or the store, are tried again.
@@ -68,10 +73,13 @@
 	settled   chan struct{}
 	nodesRead chan struct{}
 	readOnce  sync.Once
+	// historyLost is closed and replaced when a watch shows that the store has lost its history; lostAt is when it last was.
+	historyLost chan struct{}
+	lostAt      time.Time
 }
 
 func newChangeSource() *changeSource {
-	return &changeSource{mode: fromStart, changed: make(chan struct{}), settled: make(chan struct{}), nodesRead: make(chan struct{})}
+	return &changeSource{mode: fromStart, changed: make(chan struct{}), historyLost: make(chan struct{}), settled: make(chan struct{}), nodesRead: make(chan struct{})}
 }
 
 func (s *changeSource) state() (mode sourceMode, changed <-chan struct{}) {
@@ -93,6 +101,24 @@
 	return former
 }
 
+func (s *changeSource) historyLoss() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.historyLost
+}
+
+// recordHistoryLoss records that a watch has lost its history; the watches of all kinds show the same loss within lossSpread.
+func (s *changeSource) recordHistoryLoss(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.lostAt) < lossSpread {
+		return
+	}
+	s.lostAt = now
+	close(s.historyLost)
+	s.historyLost = make(chan struct{})
+}
+
 // recordNodesRead records that the nodes' entries have been read.
 func (s *changeSource) recordNodesRead() {
 	select {
@@ -123,6 +149,7 @@
 	source *changeSource
 	// nodeKind is the kind that a node watches before it knows its relay.
 	nodeKind string
+	now      func() time.Time
 }
 
 // Watch watches the store, or waits until the relay is lost.
@@ -152,6 +179,16 @@
 			cancel(errRelayFollowed)
 		}
 	}()
+	if kind == s.nodeKind {
+		lost := s.source.historyLoss()
+		go func() {
+			select {
+			case <-lost:
+				cancel(errHistoryLost)
+			case <-ctx.Done():
+			}
+		}()
+	}
 	err := s.Store.Watch(ctx, kind, version, func(e object.Event) {
 		handle(e)
 		if kind == s.nodeKind && e.Type == object.Bookmark {
@@ -161,6 +198,12 @@
 	if errors.Is(context.Cause(ctx), errRelayFollowed) {
 		return errRelayFollowed
 	}
+	if errors.Is(context.Cause(ctx), errHistoryLost) {
+		return errHistoryLost
+	}
+	if errors.Is(err, object.ErrGone) {
+		s.source.recordHistoryLoss(s.now())
+	}
 	return err
 }
 
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -30,9 +30,9 @@
 
 // Adapter names the platform's kinds of object and translates its objects.
 type Adapter struct {
-	// ConfigKind, TargetKind, EvacuationKind, NodeKind and CrashKind are the kinds of object; ConfigName names the
-	// configuration in force.
-	ConfigKind, TargetKind, EvacuationKind, NodeKind, CrashKind, ConfigName string
+	// ConfigKind, TargetKind, EvacuationKind and NodeKind are the kinds of object; ConfigName names the configuration in
+	// force.
+	ConfigKind, TargetKind, EvacuationKind, NodeKind, ConfigName string
 	// ParseTable parses a configuration and lists the parts of it that cannot be used.
 	ParseTable func(spec []byte) (*route.Table, validation.Violations, error)
 	// ParseTarget parses a target's entry as seen at a time.
@@ -40,6 +40,10 @@
 	// ParseNode parses a node's entry; NodeEntry returns the entry to write for a node.
 	ParseNode func(o object.Object) (registry.Node, error)
 	NodeEntry func(n registry.Node) any
+	// CrashReportName returns the name of a node's report of crashes, an object of NodeKind; CrashReportNode returns the node
+	// of such a name, "" for the name of an entry.
+	CrashReportName func(node string) string
+	CrashReportNode func(name string) string
 	// ParseCrashReport parses a node's report of crashes; CrashReport returns the report to write.
 	ParseCrashReport func(o object.Object) (quarantine.Report, error)
 	CrashReport      func(r quarantine.Report) any
@@ -116,13 +120,12 @@
 		p.TargetKind:     {v.replaceTargets, v.applyTarget},
 		p.EvacuationKind: {v.replaceEvacuations, v.applyEvacuation},
 		p.NodeKind:       {v.replaceNodes, v.applyNode},
-		p.CrashKind:      {v.crashes.replaceReports, v.crashes.applyReport},
 	}
 }
 
 func (v *fleetView) runInformer(ctx context.Context, kind string, h kindHandler) {
 	informer.New(informer.Config{
-		Store: pausingStore{Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind}, Kind: kind,
+		Store: pausingStore{Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind, now: v.cfg.Now}, Kind: kind,
 		Replace:   func(l object.List) { v.replace(kind, l, h.replace) },
 		Apply:     func(e object.Event) { v.apply(kind, e, h.apply) },
 		OnContact: func() { v.recordContact(kind, v.cfg.Now()) },
