--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -212,20 +213,10 @@
 			return denial(http.StatusUnauthorized, causeKey, "key is not known")
 		}
 	}
-	limit := rs.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return denial(http.StatusRequestEntityTooLarge, causeSize, "body is too large")
-	}
-	if err != nil {
-		return cancellation()
-	}
-	rs.Body = body
 	g.setDeadlines(rs)
+	if out := g.readBody(w, r, rs); out != nil {
+		return out
+	}
 	name := rs.route.PickService(rand.Float64())
 	if rs.service, ok = rs.table.Service(name); !ok {
 		return refusal(causeUnready, "service is not configured", shortRetry)
@@ -240,6 +231,34 @@
 	return nil
 }
 
+// readBody reads the body of a request until its deadline; it returns nil if the body is complete.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, rs *requestState) *outcome {
+	limit := rs.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(rs.deadline); err != nil {
+		g.cfg.Log.WithError(err).WithField("request", rs.ID).Warn("gateway: the time to read a body cannot be bounded")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return denial(http.StatusRequestEntityTooLarge, causeSize, "body is too large")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &outcome{kind: refused, status: http.StatusRequestTimeout, cause: causeBody, reason: "body was not received in time", retryAfter: shortRetry}
+	case err != nil:
+		return cancellation()
+	}
+	// The deadline would end the connection, and with it the request, while a target works on it.
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return cancellation()
+	}
+	rs.Body = body
+	return nil
+}
+
 // setDeadlines sets when a response is wanted and when it must be complete. A caller that has already waited sends a
 // shorter timeout, so the difference to the longest one counts as time waited.
 func (g *Gateway) setDeadlines(rs *requestState) {
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -37,6 +37,8 @@
 	causeRoute cause = "route"
 	causeKey   cause = "key"
 	causeSize  cause = "size"
+	// The body of the request was not received in time.
+	causeBody cause = "body"
 	// The node is stopping and accepts no long streams.
 	causeStopping cause = "stopping"
 	// The stages could not start the request's pieces in time, or a piece was lost or late.
