Take a stream of repeated events as stalled

Callers saw: nothing yet; reported by operators of similar systems. Cause: every event of the product's own streams reset the time without an event, also one that had come before and is dropped. Change: only new events reset it.

--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -250,7 +250,6 @@
 			r.client.Counts.Mismatched.Add(1)
 			continue
 		}
-		r.resetIdle()
 		if m.End {
 			if m.N != next-1 {
 				return nil, 0, merry.Errorf("stream ends at %d, events came up to %d", m.N, next-1)
@@ -260,6 +259,7 @@
 		if m.N < next {
 			continue
 		}
+		r.resetIdle()
 		if m.N > next {
 			return nil, 0, merry.Errorf("event %d came in place of %d", m.N, next)
 		}
