Take the newest lists of all nodes that a starting node may ask

Callers saw: nothing yet; operators of similar systems reported servers that had left and keys that had been withdrawn in use again after a restart. Cause: a node that starts while the store is down took all lists from the first node that its settings name and that answers, however old they were. Change: it asks them all at once and takes the newest list of each kind, by era and revision; once one has answered it waits 0.3 s for the others. Conclusion: a node whose every peer is cut off still starts with what they have.

--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -37,6 +37,8 @@
 	deregisterTimeout = time.Second
 	// bootstrapDelay is how long the store may take to return the first lists before other nodes are asked for theirs.
 	bootstrapDelay = 400 * time.Millisecond
+	// peerWait is how long the lists of further nodes are waited for once one has answered.
+	peerWait = 300 * time.Millisecond
 	// pruneInterval is the time between two removals of state about targets that no longer exist.
 	pruneInterval = time.Minute
 	// keepAliveInterval and keepAliveProbes bound how long a caller's unresponsive connection is kept.
@@ -195,19 +197,53 @@
 		if n.view.table.Load() != nil && n.view.targetsListed.Load() {
 			return
 		}
-		for _, address := range n.cfg.Settings.Seeds {
-			if address == n.cfg.Settings.PeerAddress {
-				continue
-			}
+		if lists := n.readPeers(ctx); len(lists) > 0 {
+			n.view.loadLists(lists)
+		}
+	}
+}
+
+// readPeers reads the lists of the nodes that the settings name, and returns the newest list of each kind. A node that has been
+// cut off for long may have lists with targets that have left and keys that were withdrawn.
+func (n *Node) readPeers(ctx context.Context) map[string]object.List {
+	answers := make(chan map[string]object.List, len(n.cfg.Settings.Seeds))
+	asked := 0
+	for _, address := range n.cfg.Settings.Seeds {
+		if address == n.cfg.Settings.PeerAddress {
+			continue
+		}
+		asked++
+		go func() {
 			lists, err := snapshot.Read(ctx, address)
 			if err != nil {
 				n.cfg.Log.WithError(err).WithField("from", address).Info("node: reading lists from another node failed")
-				continue
 			}
-			if len(lists) > 0 {
-				n.view.loadLists(address, lists)
-				break
+			answers <- lists
+		}()
+	}
+	lists := map[string]object.List{}
+	var enough <-chan time.Time
+	for range asked {
+		select {
+		case answer := <-answers:
+			mergeNewest(lists, answer)
+			if len(lists) > 0 && enough == nil {
+				enough = time.After(peerWait)
 			}
+		case <-enough:
+			return lists
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return lists
+}
+
+// mergeNewest replaces the lists that are older than another node's.
+func mergeNewest(lists, other map[string]object.List) {
+	for kind, l := range other {
+		if known, ok := lists[kind]; !ok || known.Version < l.Version {
+			lists[kind] = l
 		}
 	}
 }
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -239,7 +239,7 @@
 }
 
 // loadLists applies another node's lists for the kinds that have not been read from the store yet.
-func (v *fleetView) loadLists(from string, lists map[string]object.List) {
+func (v *fleetView) loadLists(lists map[string]object.List) {
 	v.updateMu.Lock()
 	defer v.updateMu.Unlock()
 	for kind, h := range v.handlers() {
@@ -248,7 +248,7 @@
 		v.mu.Unlock()
 		if l, ok := lists[kind]; ok && !read {
 			h.replace(l)
-			v.cfg.Log.WithFields(logrus.Fields{"kind": kind, "from": from, "revision": l.Version.Revision(), "objects": len(l.Items)}).Info("store: using another node's list")
+			v.cfg.Log.WithFields(logrus.Fields{"kind": kind, "revision": l.Version.Revision(), "objects": len(l.Items)}).Info("store: using another node's list")
 		}
 	}
 }
