Do not take a late copy of a stage answer for the answer of the next call

Callers saw: nothing yet; operators of similar systems reported answers that came a second time on a connection in use again, and reached the next caller. Cause: answers to batch calls name no call. A copy that came after half of the next call's time, with as many results, was taken for its answer, and the next request got the inputs of the former one. Change: a node remembers which piece each recent handle belongs to; a handle that comes again for another piece shows a copy, the call fails and its connection is closed. A report without free space closes its connection as well.

--- a/cmd/lacewingdrift/platform.go
+++ b/cmd/lacewingdrift/platform.go
@@ -56,7 +56,7 @@
 		Store:       platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, OnCall: meter.CountStoreCall}),
 		Meter:       meter,
 		Headers:     platform.HeaderCodec{},
-		StageClient: platform.StageClient{Connections: connections},
+		StageClient: platform.NewStageClient(connections),
 		Connections: connections,
 		Log:         log,
 		Now:         time.Now,
