--- a/internal/wire/dispatch/dispatcher_test.go
+++ b/internal/wire/dispatch/dispatcher_test.go
@@ -381,3 +381,28 @@
 		t.Errorf("got %v (%v), want the results of the slow call", out, err)
 	}
 }
+
+// TestPieceThatCrashesTargetsIsGivenUp covers a piece under which every target breaks off: it ends no more than maxAttempts.
+func TestPieceThatCrashesTargetsIsGivenUp(t *testing.T) {
+	f := &fakeTargets{}
+	f.run = func(_ int, _ registry.Target, pieces []batch.Piece) ([]batch.Result, error) {
+		for _, p := range pieces {
+			if p.Request == "crashing" {
+				return nil, errors.New("connection reset")
+			}
+		}
+		return nil, nil
+	}
+	var targets []registry.Target
+	for i := range 8 {
+		targets = append(targets, target(fmt.Sprintf("t-%d", i), "a"))
+	}
+	d := newTestDispatcher(f, targets...)
+	results, err := d.Produce(t.Context(), testGroup("crashing", 1, 10), Callbacks{OnQueued: func(time.Duration) {}, OnInputsFetched: func() {}})
+	if err != nil || len(results) != 1 || results[0].Reason != batch.Failed {
+		t.Errorf("got results %v, error %v, want one failed piece", results, err)
+	}
+	if got := len(f.recordedCalls()); got != maxAttempts {
+		t.Errorf("got %d calls with the piece, want %d", got, maxAttempts)
+	}
+}
