Delete expired reports of crashes of nodes that are gone

Cause: a report outlives its node, so that a fleet that restarts knows what was found; nobody removed those of nodes that never come back.

--- a/internal/operator/gatewaynode/quarantine.go
+++ b/internal/operator/gatewaynode/quarantine.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/quarantine"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/rendezvous"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 )
 
@@ -108,6 +110,25 @@
 	}
 }
 
+// prune withdraws the node's own report once all of it has expired, and deletes those of nodes that are gone.
+func (c *crashReporter) prune(ctx context.Context, now time.Time) {
+	view, cfg := c.node.view, c.node.cfg
+	live := view.registry.Load().NodeNames()
+	for _, node := range c.keeper.Board().Nodes() {
+		isExpired := c.keeper.Board().Report(node).Pruned(now).IsEmpty()
+		switch {
+		case !isExpired:
+		case node == cfg.Settings.Name:
+			offer(c.due, quarantine.Immediate)
+		case !slices.Contains(live, node) && rendezvous.First(node, live) == cfg.Settings.Name:
+			name := cfg.Platform.CrashReportName(node)
+			if err := cfg.Store.Delete(ctx, cfg.Platform.NodeKind, name, view.cachedVersion(cfg.Platform.NodeKind, name)); err != nil {
+				cfg.Log.WithError(err).WithField("peer", node).Warn("fleet: deleting the report of a node that is gone failed")
+			}
+		}
+	}
+}
+
 // merge takes in a node's report from the store.
 func (c *crashReporter) merge(node string, o object.Object) {
 	r, err := c.node.cfg.Platform.ParseCrashReport(o)
