Let a node turn ready once it has read the reports of crashes

Cause: a node turned ready with a configuration and targets; the reports come with the nodes' entries, which may be listed later, so it could send a part in quarantine on. Change: a node is not ready until they are read, for 2 s at most. Measured: TestStartingNodesKnowQuarantinedPart with a list of the nodes that comes 0.5 s late failed without it.

--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -37,6 +37,8 @@
 	deregisterTimeout = time.Second
 	// bootstrapDelay is how long the store may take to return the first lists before other nodes are asked for theirs.
 	bootstrapDelay = 400 * time.Millisecond
+	// crashWait bounds how long a node that has a configuration and targets stays not ready for the reports of crashes.
+	crashWait = 2 * time.Second
 	// peerWait is how long the lists of further nodes are waited for once one has answered.
 	peerWait = 300 * time.Millisecond
 	// pruneInterval is the time between two removals of state about targets that no longer exist.
@@ -79,7 +81,9 @@
 	callerServer    *http.Server
 	internalServers []*http.Server
 	draining        atomic.Bool
-	cancel          context.CancelFunc
+	// crashesKnown is set once the reports of crashes have been read, or have not come for crashWait.
+	crashesKnown atomic.Bool
+	cancel       context.CancelFunc
 }
 
 // Start opens the node's listeners and starts to follow the store.
@@ -99,6 +103,7 @@
 	go n.prune(ctx)
 	go n.bootstrap(ctx)
 	go n.view.followRelays(ctx)
+	go n.awaitCrashes(ctx)
 	go n.view.crashes.writeReports(ctx)
 	go n.view.crashes.logVerdicts(ctx)
 	cfg.Log.WithFields(logrus.Fields{"datacentre": cfg.Settings.Datacentre, "address": cfg.Settings.CallerAddress}).Info("node: started")
@@ -178,13 +183,24 @@
 
 // serveReady responds to the load balancer's readiness check.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if n.draining.Load() || n.view.table.Load() == nil || !n.view.targetsListed.Load() {
+	if n.draining.Load() || n.view.table.Load() == nil || !n.view.targetsListed.Load() || !n.crashesKnown.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// awaitCrashes sets crashesKnown.
+func (n *Node) awaitCrashes(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-n.view.nodesListed:
+	case <-time.After(crashWait):
+		n.cfg.Log.Warn("node: reports of crashes have not been read yet")
+	}
+	n.crashesKnown.Store(true)
+}
+
 // bootstrap reads from other nodes the lists that the store does not return, until the node has a configuration and
 // targets.
 func (n *Node) bootstrap(ctx context.Context) {
