Keep withdrawn strikes withdrawn, and write a lost report again whatever others have

Cause: found by reading. A node joined its own report, read back from the store, with its current one, so a strike that it had withdrawn since came back. After a restore a node wrote its report again only if it said more than the others' reports, which the store had lost too; two nodes that saw the same crash would both not write. Change: a node's own report counts only until it has written one; after a restore it is written in any case. Measured: TestWithdrawnStrikeDoesNotReturn and TestReportIsWrittenAgainAfterRestore failed before.

--- a/internal/fleet/quarantine/board.go
+++ b/internal/fleet/quarantine/board.go
@@ -241,7 +241,7 @@
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return compareParts(a.part, b.part) })
 	for i, c := range candidates {
-		v := Verdict{Runs: c.runs(), At: now}
+		v := Verdict{Runs: lastOf(c.runs()), At: now}
 		isFirst, isExplained := true, false
 		for j, other := range candidates {
 			if other.part.Service != c.part.Service {
--- a/internal/operator/gatewaynode/bootstrap_test.go
+++ b/internal/operator/gatewaynode/bootstrap_test.go
@@ -1,6 +1,7 @@
 package gatewaynode
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -70,7 +71,8 @@
 				seeds = append(seeds, p.serve(t))
 			}
 			log := logrus.New()
-			log.SetOutput(t.Output())
+			// A read that is given up may log after the test.
+			log.SetOutput(io.Discard)
 			n := &Node{cfg: Config{Settings: settings.Gateway{Seeds: seeds}, Log: log}}
 			started := time.Now()
 			got := n.readPeers(t.Context())
--- a/internal/operator/gatewaynode/quarantine.go
+++ b/internal/operator/gatewaynode/quarantine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,6 +31,8 @@
 	// due is sent to when the report has to be written, evidence when any report has changed.
 	due      chan quarantine.Urgency
 	evidence chan struct{}
+	// lost is set if the store may have lost the report.
+	lost atomic.Bool
 	// written is the report as it was last written; only writeReports uses it.
 	written quarantine.Report
 }
@@ -65,7 +68,9 @@
 			c.sleep(ctx, rand.N(clearanceDelay))
 		}
 		now := c.node.cfg.Now()
-		if !c.keeper.HasNews(now) && !c.keeper.Own(now).Withdraws(c.written) {
+		own := c.keeper.Own(now)
+		isLost := c.lost.Swap(false) && !own.IsEmpty()
+		if !isLost && !c.keeper.HasNews(now) && !own.Withdraws(c.written) {
 			continue
 		}
 		c.write(ctx)
@@ -129,8 +134,12 @@
 	}
 }
 
-// merge takes in a node's report from the store.
+// merge takes in a node's report from the store. The node's own one counts until it has written it: it is from before a
+// restart, and later ones hold what the node may have withdrawn since.
 func (c *crashReporter) merge(node string, o object.Object) {
+	if node == c.node.cfg.Settings.Name && c.node.view.ownReport.Load() != nil {
+		return
+	}
 	r, err := c.node.cfg.Platform.ParseCrashReport(o)
 	if err != nil {
 		c.node.view.logUnreadable(o, err)
@@ -153,6 +162,7 @@
 	for _, node := range c.keeper.Board().Nodes() {
 		switch {
 		case node == self && v.restored:
+			c.lost.Store(true)
 			offer(c.due, quarantine.Immediate)
 		case listed[node] || v.restored:
 		case node != self:
--- a/internal/operator/gatewaynode/quarantine_test.go
+++ b/internal/operator/gatewaynode/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,3 +60,62 @@
 		t.Errorf("got %v deleted by three nodes, want %v", deleted, want)
 	}
 }
+
+// puttingStore records the reports that are written.
+type puttingStore struct {
+	object.Store
+	written chan quarantine.Report
+}
+
+func (s *puttingStore) Put(_ context.Context, _, _ string, _ object.Version, value any) (object.Object, error) {
+	s.written <- value.(quarantine.Report)
+	return object.Object{Version: 7}, nil
+}
+
+func newTestReporter(t *testing.T, now time.Time, store object.Store, parsed quarantine.Report) *crashReporter {
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	cfg := Config{Settings: settings.Gateway{Name: "n-1"}, Store: store, Log: log, Now: func() time.Time { return now }, Platform: Adapter{
+		CrashReportName: func(node string) string { return "crashes." + node }, CrashReportNode: func(name string) string { return strings.TrimPrefix(name, "crashes.") },
+		CrashReport: func(r quarantine.Report) any { return r }, ParseCrashReport: func(object.Object) (quarantine.Report, error) { return parsed, nil },
+	}}
+	n := &Node{cfg: cfg, view: newFleetView(cfg, metrics.New())}
+	n.view.crashes = newCrashReporter(n)
+	return n.view.crashes
+}
+
+// TestWithdrawnStrikeDoesNotReturn covers the node's own report that it reads again after it has withdrawn a strike.
+func TestWithdrawnStrikeDoesNotReturn(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	part, run := quarantine.Part{Service: "svc", ID: "a"}, notice.Target{ID: "i-1"}
+	store := &puttingStore{written: make(chan quarantine.Report, 10)}
+	c := newTestReporter(t, now, store, quarantine.Report{}.WithStrike(quarantine.Strike{Part: part, Run: run, At: now}))
+	c.keeper.RecordCrash(now, run, []quarantine.Part{part}, true)
+	c.write(t.Context())
+	c.keeper.RecordPlannedStop(now, run)
+	c.applyReport("n-1", object.Event{Type: object.Put, Object: object.Object{Name: "crashes.n-1", Version: 7}})
+	if got := len(c.keeper.Own(now).Strikes); got != 0 {
+		t.Errorf("got %d strikes, want the withdrawn one gone", got)
+	}
+}
+
+// TestReportIsWrittenAgainAfterRestore covers two nodes that saw the same crash, and a store that has lost both reports.
+func TestReportIsWrittenAgainAfterRestore(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	part, run := quarantine.Part{Service: "svc", ID: "a"}, notice.Target{ID: "i-1"}
+	store := &puttingStore{written: make(chan quarantine.Report, 10)}
+	c := newTestReporter(t, now, store, quarantine.Report{})
+	c.keeper.RecordCrash(now, run, []quarantine.Part{part}, true)
+	c.keeper.Merge(now, "n-2", c.keeper.Own(now))
+	c.node.view.restored = true
+	c.replaceReports(object.List{Version: object.NewVersion(2, 1)})
+	go c.writeReports(t.Context())
+	select {
+	case r := <-store.written:
+		if len(r.Strikes) != 1 {
+			t.Errorf("got %d strikes written, want 1", len(r.Strikes))
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("got no report written")
+	}
+}
