Look for a crash at the run of a target that is known now, not when it was chosen

Cause: the target had started again under its ID and address; its new entry came 0.24 ms after the request had chosen the old one. When the new run crashed, the crash was not taken for one, since the run was not the chosen one. Traced in the node's log: chosen at revision 24, entry 31, end by close with the address refusing. Change: the current entry decides, and a strike names its run.

--- a/internal/wire/gateway/crash.go
+++ b/internal/wire/gateway/crash.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/quarantine"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 )
@@ -68,22 +69,26 @@
 // A request whose response had just begun is the likely cause of the crash, and would end the next target too. Others that
 // were at the target are sent again, as long as few targets have crashed under their parts.
 func (g *Gateway) recordCrash(ctx context.Context, rs *requestState, t registry.Target, at breakPoint) (isFinal bool) {
-	if at == notBroken || len(rs.parts) == 0 || !g.hasCrashed(ctx, t) {
+	if at == notBroken || len(rs.parts) == 0 {
+		return false
+	}
+	run, ok := g.crashedRun(ctx, t)
+	if !ok {
 		return false
 	}
 	now := g.cfg.Now()
 	rs.log["crashed"] = t.ID
 	g.cfg.Meter.CountCrash(rs.service.Name, string(at))
-	g.cfg.Quarantine.RecordCrash(now, t.Run(), rs.parts, at == brokenBegun)
+	g.cfg.Quarantine.RecordCrash(now, run, rs.parts, at == brokenBegun)
 	return at == brokenBegun || g.cfg.Quarantine.IsSuspect(now, rs.parts)
 }
 
-// hasCrashed reports whether a target that is ready by all accounts refuses connections. Cut links, lost VMs and truncated
-// answers look different.
-func (g *Gateway) hasCrashed(ctx context.Context, t registry.Target) bool {
+// crashedRun returns the run of a target that is ready by all accounts and refuses connections, and false if there is none. Cut
+// links, lost VMs and truncated answers look different. The target may have started again since the request was sent.
+func (g *Gateway) crashedRun(ctx context.Context, t registry.Target) (notice.Target, bool) {
 	current, ok := g.cfg.Registry().Target(t.ID)
-	if !ok || current.Run() != t.Run() || current.State != registry.Ready || g.cfg.Notices.Board().Leaving(t.Run()) {
-		return false
+	if !ok || current.State != registry.Ready || g.cfg.Notices.Board().Leaving(current.Run()) {
+		return notice.Target{}, false
 	}
-	return g.cfg.Connections.IsRefused(ctx, t.Address)
+	return current.Run(), g.cfg.Connections.IsRefused(ctx, current.Address)
 }
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -270,7 +270,10 @@
 		g.recordFirstByte(rs, g.cfg.Now().Sub(started))
 		g.releaseResults(rs)
 	}
-	rw.hasCrashed = func() bool { return g.hasCrashed(ctx, t) }
+	rw.hasCrashed = func() bool {
+		_, ok := g.crashedRun(ctx, t)
+		return ok
+	}
 	flags := g.cfg.Headers.ParseResponseFlags(rs.ID, resp.Status, resp.Header)
 	rw.received = receivedBody{framing: resp.Framing}
 	result := g.processResponse(ctx, r, rs, rw, resp, flags)
