--- a/internal/fleet/quarantine/report.go
+++ b/internal/fleet/quarantine/report.go
@@ -24,7 +24,7 @@
 type Strike struct {
 	Part Part
 	Run  notice.Target
-	// At is the time by the clock of the node that saw it.
+	// At is the time of the crash, by the clock of the node that saw it.
 	At time.Time
 	// Begun is set if the target had begun a response to the request and not yet sent anything complete.
 	Begun bool
@@ -37,7 +37,7 @@
 type Verdict struct {
 	Parts []Part
 	Runs  []notice.Target
-	// At is when it was found or last confirmed, by the clock of the node that did.
+	// At is the time of the verdict or its last confirmation, by the clock of the node that made it.
 	At time.Time
 }
 
@@ -54,7 +54,7 @@
 type Clearance struct {
 	Part Part
 	Runs []notice.Target
-	// At is the time by the clock of the node that saw it.
+	// At is the time of the response, by the clock of the node that saw it.
 	At time.Time
 }
 
