Log a stream's place with each attempt

Cause: no log line said after which event a caller resumes a stream, after which a target is asked to go on, and which it sent. Change: after on chosen targets, resumed_after on requests, first_event and last_event with each response.

--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -77,7 +77,7 @@
 			return fallback
 		}
 		tried[t.ID] = true
-		g.logPicked(now, rs, *c, len(tried))
+		g.logPicked(now, rs, *c, len(tried), rw.resumePoint(rs))
 		result := g.send(ctx, r, rs, rw, t)
 		g.cfg.Meter.RecordSend(rs.service.Name, result.label(), g.cfg.Now().Sub(now))
 		if result.countsAsAttempt || result.final != nil {
@@ -191,11 +191,15 @@
 }
 
 // logPicked logs the chosen target and the state that led to the choice.
-func (g *Gateway) logPicked(now time.Time, rs *requestState, c balancer.Candidate, try int) {
-	g.cfg.Log.WithFields(logrus.Fields{
+func (g *Gateway) logPicked(now time.Time, rs *requestState, c balancer.Candidate, try int, after string) {
+	fields := logrus.Fields{
 		"request": rs.ID, "target": c.Target.ID, "datacentre": c.Target.Datacentre, "service": rs.service.Name, "try": try, "running": c.Running, "unread": c.PendingTokens,
 		"avoid": c.InBackoff, "cold": c.Target.Cold(now), "revision": c.Target.Version.Revision(), "left_ms": rs.deadline.Sub(now).Milliseconds(),
-	}).Info("gateway: target chosen")
+	}
+	if after != "" {
+		fields["after"] = after
+	}
+	g.cfg.Log.WithFields(fields).Info("gateway: target chosen")
 }
 
 // label returns the metric label of a send.
@@ -239,14 +243,10 @@
 		defer move.Stop()
 		rw.stopMove = func() { move.Stop() }
 	}
-	lastEventID := rs.LastEventID
-	if rw.headerSent {
-		lastEventID = rw.lastEventID
-	}
 	req := connection.Request{
 		Method: rs.Method, URI: rs.URI, Host: rs.Host, Body: rs.Body,
 		Header: g.cfg.Headers.ForwardHeader(rs.Call, call.ForwardOptions{
-			Target: t.ID, Team: rs.team.Name, TimeLeft: rs.deadline.Sub(started) + responseMargin, InputHandles: rs.inputs, LastEventID: lastEventID,
+			Target: t.ID, Team: rs.team.Name, TimeLeft: rs.deadline.Sub(started) + responseMargin, InputHandles: rs.inputs, LastEventID: rw.resumePoint(rs),
 		}),
 		IsMismatched: func(h http.Header) bool { return g.cfg.Headers.ParseResponseFlags(rs.ID, 0, h).Mismatched },
 	}
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -149,6 +149,9 @@
 	if len(rs.Prompt.Parts) > 0 {
 		rs.log["parts"] = rs.Prompt.PartIDs()
 	}
+	if rs.LastEventID != "" {
+		rs.log["resumed_after"] = rs.LastEventID
+	}
 	if rs.table != nil {
 		rs.log["version"] = rs.table.Version
 	}
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -50,12 +50,22 @@
 	return &outcome{kind: truncated, cause: causeNotResumed, reason: "stream was not resumed: " + o.reason, abort: true, inputLost: o.inputLost}
 }
 
+// resumePoint returns the ID of the event after which a target is asked to go on, "" for the start of a stream.
+func (rw *responseWriter) resumePoint(rs *requestState) string {
+	if rw.headerSent {
+		return rw.lastEventID
+	}
+	return rs.LastEventID
+}
+
 // receivedBody is what a target has sent of a body, for the log.
 type receivedBody struct {
 	framing connection.Framing
 	bytes   int
 	// events is set for a stream only.
 	events *eventstream.Progress
+	// firstEvent and lastEvent are the IDs of the first and the last complete event of a resumable stream.
+	firstEvent, lastEvent string
 }
 
 func (b receivedBody) addTo(fields logrus.Fields) {
@@ -65,6 +75,10 @@
 		fields["events"] = b.events.Events
 		fields["in_event"] = b.events.InEvent
 	}
+	if b.firstEvent != "" {
+		fields["first_event"] = b.firstEvent
+		fields["last_event"] = b.lastEvent
+	}
 }
 
 var errCrashed = errors.New("connection was closed and the target is gone")
@@ -264,6 +278,10 @@
 	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			rw.lastEventID = string(bytes.TrimSpace(v))
+			rw.received.lastEvent = rw.lastEventID
+			if rw.received.firstEvent == "" {
+				rw.received.firstEvent = rw.lastEventID
+			}
 		}
 	}
 }
