Keep a caller's place in a stream from its request on, and check each event against it

Cause: the place in a stream was taken from what this node had sent. If the first target broke off before a whole event had left (a comment, half an event), the next one was asked for the stream from its start. Nothing compared an event with the place. Class: the place belonged to an attempt and not to the request. Change: eventstream.Relay holds the place from the caller's Last-Event-Id on, moves it with each event that leaves, and judges every event of every response: one that the caller has is held back, a stream that was started again, has a gap or cannot be compared ends the response, and another target continues it or the caller's connection is cut. Events are passed on whole also where a stream may not be resumed, and the header leaves with the first event. Metric held_events, log fields held, held_event, held_reason. Conclusion: a caller gets each event once, from one run, whatever targets break off or start again.

--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -77,6 +77,11 @@
 	m.scope.Tagged(map[string]string{"service": service, "framing": framing, "end": end}).Counter("responses").Inc(1)
 }
 
+// CountHeldEvent counts an event of a target of a service that was held back from its caller, by the reason.
+func (m *Meter) CountHeldEvent(service, reason string) {
+	m.scope.Tagged(map[string]string{"service": service, "reason": reason}).Counter("held_events").Inc(1)
+}
+
 // CountCrash counts a crash of a target of a service under a request, by how far its response had come.
 func (m *Meter) CountCrash(service, progress string) {
 	m.scope.Tagged(map[string]string{"service": service, "progress": progress}).Counter("target_crashes").Inc(1)
--- /dev/null
+++ b/internal/wire/eventstream/event.go
@@ -0,0 +1,61 @@
+package eventstream
+
+import (
+	"bytes"
+	"strings"
+)
+
+// Event is a complete event of a stream with its line endings, or the blank lines and comments between two events.
+type Event struct {
+	Text []byte
+	// ID is the event's ID; an event without one leaves HasID unset.
+	ID    string
+	HasID bool
+	// IsFiller is set for blank lines and comments between events.
+	IsFiller bool
+}
+
+// split cuts text that ends between two events into its events and what is between them.
+func split(text []byte) []Event {
+	var list []Event
+	start, e := 0, Event{IsFiller: true}
+	add := func(end int) {
+		if end > start {
+			e.Text = text[start:end]
+			list = append(list, e)
+		}
+		start, e = end, Event{IsFiller: true}
+	}
+	for at := 0; at < len(text); {
+		line, end := cutLine(text, at)
+		switch {
+		case len(line) == 0 && !e.IsFiller:
+			add(end)
+		case len(line) == 0 || line[0] == ':':
+		default:
+			if e.IsFiller {
+				add(at)
+				e.IsFiller = false
+			}
+			if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+				e.ID, e.HasID = strings.TrimSpace(string(value)), true
+			}
+		}
+		at = end
+	}
+	add(len(text))
+	return list
+}
+
+// cutLine returns the line that begins at an index, and the index behind its line ending: LF, CRLF or CR.
+func cutLine(text []byte, at int) (line []byte, end int) {
+	n := bytes.IndexAny(text[at:], "\r\n")
+	if n < 0 {
+		return text[at:], len(text)
+	}
+	end = at + n + 1
+	if text[at+n] == '\r' && end < len(text) && text[end] == '\n' {
+		end++
+	}
+	return text[at : at+n], end
+}
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -280,6 +280,9 @@
 	targetFailed := result.final == nil || result.final.kind == truncated
 	backoff := g.loads.finish(g.cfg.Now(), t.ID, targetFailed && r.Context().Err() == nil)
 	rw.received.addTo(rs.log)
+	for _, h := range rw.received.held {
+		g.cfg.Meter.CountHeldEvent(rs.service.Name, string(h.Verdict))
+	}
 	g.cfg.Meter.CountResponse(rs.service.Name, string(rw.received.framing), !result.isTruncated())
 	if targetFailed {
 		g.logFailedAttempt(rs, t, resp.Status, flags, rw.received, result, backoff)
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -53,6 +53,8 @@
 	RecordSend(service, result string, took time.Duration)
 	// CountResponse counts a response of a target by how its body was framed and whether it was read to its end.
 	CountResponse(service, framing string, isComplete bool)
+	// CountHeldEvent counts an event of a target of a service that was held back from its caller, by the reason.
+	CountHeldEvent(service, reason string)
 	// CountCrash counts a crash of a target of a service under a request, by how far its response had come.
 	CountCrash(service, progress string)
 }
@@ -308,7 +310,7 @@
 	defer cancel()
 	defer g.releaseResults(rs)
 	g.RecordFirstSend(rs.Received, rs.service.Name)
-	rw := &responseWriter{w: w}
+	rw := newResponseWriter(w, rs)
 	var out *outcome
 	for range maxStageRuns {
 		if out = g.runStages(ctx, r, rs); out == nil {
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"bytes"
-	"context"
 	"errors"
 	"io"
 	"maps"
@@ -29,8 +27,8 @@
 	w http.ResponseWriter
 	// headerSent is set once the header has been sent.
 	headerSent bool
-	// lastEventID is the ID of the last event that the caller has.
-	lastEventID string
+	// relay is the stream as far as the caller has it.
+	relay eventstream.Relay
 	// stopMove is called with the response's first bytes and keeps the request at its target; it may be nil.
 	// onFirstByte is also called then.
 	stopMove    func()
@@ -50,12 +48,20 @@
 	return &outcome{kind: truncated, cause: causeNotResumed, reason: "stream was not resumed: " + o.reason, abort: true, inputLost: o.inputLost}
 }
 
+// newResponseWriter returns the writer of a request's response; a caller that resumes a stream has its first events.
+func newResponseWriter(w http.ResponseWriter, rs *requestState) *responseWriter {
+	if !rs.route.Resumable {
+		return &responseWriter{w: w}
+	}
+	return &responseWriter{w: w, relay: eventstream.NewRelay(rs.LastEventID)}
+}
+
 // resumePoint returns the ID of the event after which a target is asked to go on, "" for the start of a stream.
 func (rw *responseWriter) resumePoint(rs *requestState) string {
-	if rw.headerSent {
-		return rw.lastEventID
+	if !rs.route.Resumable {
+		return rs.LastEventID
 	}
-	return rs.LastEventID
+	return rw.relay.Place.ID()
 }
 
 // receivedBody is what a target has sent of a body, for the log.
@@ -64,8 +70,9 @@
 	bytes   int
 	// events is set for a stream only.
 	events *eventstream.Progress
-	// firstEvent and lastEvent are the IDs of the first and the last complete event of a resumable stream.
-	firstEvent, lastEvent string
+	// lastEvent is the ID of the last event that was passed on, held are the events that were not.
+	lastEvent string
+	held      []eventstream.Held
 }
 
 func (b receivedBody) addTo(fields logrus.Fields) {
@@ -75,10 +82,14 @@
 		fields["events"] = b.events.Events
 		fields["in_event"] = b.events.InEvent
 	}
-	if b.firstEvent != "" {
-		fields["first_event"] = b.firstEvent
+	if b.lastEvent != "" {
 		fields["last_event"] = b.lastEvent
 	}
+	if len(b.held) > 0 {
+		fields["held"] = len(b.held)
+		fields["held_event"] = b.held[0].ID
+		fields["held_reason"] = b.held[0].Verdict
+	}
 }
 
 var errCrashed = errors.New("connection was closed and the target is gone")
@@ -88,22 +99,8 @@
 	return resp.Framing == connection.FramedByClose && rw.hasCrashed()
 }
 
-// maxEventless returns how many bytes a response may have without completing an event.
-func maxEventless(h http.Header) int {
-	if h.Get("Content-Type") != "" && !eventstream.IsStream(h) {
-		return maxBufferedBytes
-	}
-	return maxEventBytes
-}
-
-// endError returns why a stream that was read without an error is truncated, or nil. Targets may omit the content type
-// on a streaming route.
-func (b receivedBody) endError(h http.Header) error {
-	if h.Get("Content-Type") != "" && !eventstream.IsStream(h) {
-		return nil
-	}
-	return b.events.EndError(b.framing != connection.FramedByClose)
-}
+// hasEvents reports whether a response on a streaming route is a stream of events. Targets may omit the content type there.
+func hasEvents(h http.Header) bool { return h.Get("Content-Type") == "" || eventstream.IsStream(h) }
 
 // bufferedResponse is a complete response of a target.
 type bufferedResponse struct {
@@ -165,85 +162,8 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, readSize))
 }
 
-// stream passes events on as they arrive. If the stream is resumable, only complete events are passed on, so that
-// another target can continue after them.
-func (rw *responseWriter) stream(ctx context.Context, r *http.Request, resp *connection.Response, resumable bool) sendResult {
-	buf := make([]byte, readSize)
-	var pending []byte
-	eventless := 0
-	rw.received = receivedBody{framing: resp.Framing, events: &eventstream.Progress{}}
-	for {
-		n, err := resp.Body.Read(buf)
-		rw.received.bytes += n
-		var boundary int
-		events := rw.received.events.Events
-		*rw.received.events, boundary = rw.received.events.With(buf[:n])
-		eventless += n
-		if rw.received.events.Events > events {
-			eventless = 0
-		}
-		if n > 0 {
-			rw.start(resp, resumable)
-			out := buf[:n]
-			if resumable {
-				before := len(pending)
-				pending = append(pending, out...)
-				out = nil
-				if boundary > 0 {
-					out, pending = pending[:before+boundary], pending[before+boundary:]
-				}
-				rw.recordEventID(out)
-			}
-			if e := rw.write(out); e != nil {
-				return sendResult{final: cancellation()}
-			}
-			if eventless > maxEventless(resp.Header) {
-				err = errors.New("event is too large")
-			}
-		}
-		if err == nil {
-			continue
-		}
-		if err == io.EOF {
-			err = rw.received.endError(resp.Header)
-			if err == nil && rw.endsWithCrash(resp) {
-				err = errCrashed
-			}
-		}
-		if err == nil {
-			rw.start(resp, resumable)
-			if e := rw.write(pending); e != nil {
-				return sendResult{final: cancellation()}
-			}
-			return sendResult{final: &outcome{kind: answered, status: resp.Status, written: true}}
-		}
-		return rw.interruption(ctx, r, resumable, err)
-	}
-}
-
-// interruption returns the result of a stream that broke off.
-func (rw *responseWriter) interruption(ctx context.Context, r *http.Request, resumable bool, err error) sendResult {
-	if r.Context().Err() != nil {
-		return sendResult{final: cancellation()}
-	}
-	broken := brokenMidway
-	switch {
-	case ctx.Err() != nil:
-		broken = notBroken
-	case rw.received.events.Events == 0:
-		broken = brokenBegun
-	}
-	if !rw.headerSent {
-		return sendResult{fallback: failure(http.StatusBadGateway, causeTruncated, "stream was cut before its first event").withError(err), mayHaveRun: true, countsAsAttempt: true, broken: broken}
-	}
-	out := &outcome{kind: truncated, cause: causeTruncated, reason: "stream was cut: " + err.Error(), abort: true}
-	if !resumable || (ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved)) {
-		return sendResult{final: out, broken: broken}
-	}
-	return sendResult{fallback: out, mayHaveRun: true, countsAsAttempt: true, broken: broken}
-}
-
-func (rw *responseWriter) start(resp *connection.Response, resumable bool) {
+// recordFirstByte calls what waits for the first byte of a response.
+func (rw *responseWriter) recordFirstByte() {
 	if rw.onFirstByte != nil {
 		rw.onFirstByte()
 		rw.onFirstByte = nil
@@ -252,14 +172,17 @@
 		rw.stopMove()
 		rw.stopMove = nil
 	}
+}
+
+// start sends the header of a stream, unless it has been sent. Events may be held back or follow from another target, so that
+// the length of the response is not known.
+func (rw *responseWriter) start(resp *connection.Response) {
 	if rw.headerSent {
 		return
 	}
 	rw.headerSent = true
 	copyHeader(rw.w, resp.Header)
-	if resumable {
-		rw.w.Header().Del("Content-Length")
-	}
+	rw.w.Header().Del("Content-Length")
 	rw.w.WriteHeader(resp.Status)
 }
 
@@ -272,16 +195,3 @@
 	}
 	return http.NewResponseController(rw.w).Flush()
 }
-
-// recordEventID records the ID of the last event.
-func (rw *responseWriter) recordEventID(events []byte) {
-	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
-		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			rw.lastEventID = string(bytes.TrimSpace(v))
-			rw.received.lastEvent = rw.lastEventID
-			if rw.received.firstEvent == "" {
-				rw.received.firstEvent = rw.lastEventID
-			}
-		}
-	}
-}
--- /dev/null
+++ b/internal/wire/gateway/stream.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/eventstream"
+)
+
+var errEventTooLarge = errors.New("event is too large")
+
+// stream passes the complete events of a response on as they arrive. Another target may continue a resumable stream after them.
+func (rw *responseWriter) stream(ctx context.Context, r *http.Request, resp *connection.Response, resumable bool) sendResult {
+	if !hasEvents(resp.Header) {
+		return rw.copyBody(ctx, r, resp)
+	}
+	rw.relay = rw.relay.WithResponse()
+	rw.received = receivedBody{framing: resp.Framing, events: &eventstream.Progress{}}
+	buf := make([]byte, readSize)
+	eventless := 0
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			rw.recordFirstByte()
+			events := rw.relay.Response.Events
+			failure, e := rw.passEvents(resp, buf[:n])
+			if e != nil {
+				return sendResult{final: cancellation()}
+			}
+			if eventless += n; rw.relay.Response.Events > events {
+				eventless = 0
+			}
+			if eventless > maxEventBytes {
+				failure = errEventTooLarge
+			}
+			if failure != nil {
+				return rw.interruption(ctx, r, resumable, failure)
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err == io.EOF {
+			err = rw.relay.Response.EndError(resp.Framing != connection.FramedByClose)
+			if err == nil && rw.endsWithCrash(resp) {
+				err = errCrashed
+			}
+		}
+		if err != nil {
+			return rw.interruption(ctx, r, resumable, err)
+		}
+		rw.start(resp)
+		if e := rw.write(rw.relay.Rest()); e != nil {
+			return sendResult{final: cancellation()}
+		}
+		return sendResult{final: &outcome{kind: answered, status: resp.Status, written: true}}
+	}
+}
+
+// passEvents passes on what data completes. failure is set if the response cannot be used further, err if the caller has left.
+func (rw *responseWriter) passEvents(resp *connection.Response, data []byte) (failure, err error) {
+	var passed eventstream.Passed
+	rw.relay, passed, failure = rw.relay.With(data)
+	rw.received.bytes += len(data)
+	*rw.received.events = rw.relay.Response
+	rw.received.lastEvent = rw.relay.Place.ID()
+	rw.received.held = append(rw.received.held, passed.Held...)
+	if len(passed.Text) == 0 {
+		return failure, nil
+	}
+	rw.start(resp)
+	return failure, rw.write(passed.Text)
+}
+
+// copyBody passes on a response of a streaming route that is no stream of events.
+func (rw *responseWriter) copyBody(ctx context.Context, r *http.Request, resp *connection.Response) sendResult {
+	rw.received = receivedBody{framing: resp.Framing}
+	buf := make([]byte, readSize)
+	for {
+		n, err := resp.Body.Read(buf)
+		rw.received.bytes += n
+		if n > 0 {
+			rw.recordFirstByte()
+			rw.start(resp)
+			if e := rw.write(buf[:n]); e != nil {
+				return sendResult{final: cancellation()}
+			}
+			if rw.received.bytes > maxBufferedBytes {
+				err = errors.New("response is too large")
+			}
+		}
+		if err == io.EOF {
+			err = nil
+			if rw.endsWithCrash(resp) {
+				err = errCrashed
+			}
+			if err == nil {
+				rw.start(resp)
+				return sendResult{final: &outcome{kind: answered, status: resp.Status, written: true}}
+			}
+		}
+		if err != nil {
+			return rw.interruption(ctx, r, false, err)
+		}
+	}
+}
+
+// interruption returns the result of a stream that broke off.
+func (rw *responseWriter) interruption(ctx context.Context, r *http.Request, resumable bool, err error) sendResult {
+	if r.Context().Err() != nil {
+		return sendResult{final: cancellation()}
+	}
+	broken := brokenMidway
+	switch {
+	case ctx.Err() != nil || errors.Is(err, eventstream.ErrNotContinued):
+		broken = notBroken
+	case rw.received.events == nil || rw.received.events.Events == 0:
+		broken = brokenBegun
+	}
+	if !rw.headerSent {
+		return sendResult{fallback: failure(http.StatusBadGateway, causeTruncated, "stream was cut before its first event").withError(err), mayHaveRun: true, countsAsAttempt: true, broken: broken}
+	}
+	out := &outcome{kind: truncated, cause: causeTruncated, reason: "stream was cut: " + err.Error(), abort: true}
+	if !resumable || !rw.relay.Place.CanContinue() || (ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved)) {
+		return sendResult{final: out, broken: broken}
+	}
+	return sendResult{fallback: out, mayHaveRun: true, countsAsAttempt: true, broken: broken}
+}
