End a response that ends with its connection where a second copy begins

What callers would see: an answer without length or chunks with the head and the body of its second copy behind it; in a stream the copy's head reads as fields of another event. Cause: a body that ends with its connection takes all bytes up to there, also those of a second response to the same request. Change: such a body ends where a whole response head begins that names the same request.

--- a/internal/serving/call/call.go
+++ b/internal/serving/call/call.go
@@ -85,6 +85,8 @@
 type ResponseFlags struct {
 	// Mismatched is set if the response belongs to another call.
 	Mismatched bool
+	// Matched is set if the response names the call.
+	Matched bool
 	// NotRun is set if the target did not run the request.
 	NotRun bool
 	// Signed is set if the response carries the target's signature.
--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -62,6 +62,8 @@
 	Body   []byte
 	// IsMismatched reports whether a response header belongs to another request; it may be nil.
 	IsMismatched func(http.Header) bool
+	// IsOwn reports whether a response header names this request; it may be nil.
+	IsOwn func(http.Header) bool
 }
 
 // Framing is how a response marks the end of its body.
@@ -281,6 +283,9 @@
 		_ = c.netConn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
+	if framing(resp) == FramedByClose && r.IsOwn != nil {
+		resp.Body = &copyFilter{body: resp.Body, isOwn: r.IsOwn}
+	}
 	b := &responseBody{pool: p, address: address, conn: c, resp: resp, sent: sent, stopCancel: stop}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Framing: framing(resp)}, nil
 }
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -249,6 +249,7 @@
 			Target: t.ID, Team: rs.team.Name, TimeLeft: rs.deadline.Sub(started) + responseMargin, InputHandles: rs.inputs, LastEventID: rw.resumePoint(rs),
 		}),
 		IsMismatched: func(h http.Header) bool { return g.cfg.Headers.ParseResponseFlags(rs.ID, 0, h).Mismatched },
+		IsOwn:        func(h http.Header) bool { return g.cfg.Headers.ParseResponseFlags(rs.ID, 0, h).Matched },
 	}
 	rs.log["target"] = t.ID
 	pendingTokens := rs.Prompt.InputTokens
