Do not join a stream that one of the product's own targets starts again

What callers would see: the events of one run up to their place, and behind it those of another run. Cause: events at or before the place were dropped and the later ones passed on, also where the target had not gone on after the place but started the stream again. Change: the first event of a continued stream has to follow the place; otherwise the attempt is incomplete. Duplicates within one response are dropped as before. Check replaced: the case "resumed from the start" took such a stream as complete; it is now "started again", incomplete, and there is one more from behind the place.

--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -256,6 +256,9 @@
 			}
 			return m.Output, m.N, nil
 		}
+		if m.N <= r.attempt.ResumeAfter && next == r.attempt.ResumeAfter+1 {
+			return nil, 0, merry.Errorf("target started the stream again at event %d, events up to %d are there", m.N, r.attempt.ResumeAfter)
+		}
 		if m.N < next {
 			continue
 		}
--- a/internal/wire/backend/client_test.go
+++ b/internal/wire/backend/client_test.go
@@ -20,6 +20,7 @@
 
 func TestRunStreamCompleteness(t *testing.T) {
 	const one, two = `{"attempt":"a","n":1,"data":1}` + "\n", `{"attempt":"a","n":2,"data":2}` + "\n"
+	const three = `{"attempt":"a","n":3,"data":3}` + "\n"
 	const end = `{"attempt":"a","end":true,"n":2,"output":"x"}` + "\n"
 	tests := []struct {
 		name     string
@@ -32,7 +33,8 @@
 		{"duplicate events", one + one + two + two + end, 0, "12", true},
 		{"mismatched event in between", one + `{"attempt":"b","n":2,"data":9}` + "\n" + two + end, 0, "12", true},
 		{"resumed", two + end, 1, "2", true},
-		{"resumed from the start", one + two + end, 1, "2", true},
+		{"started again", one + two + end, 1, "", false},
+		{"started again behind the place", two + three + `{"attempt":"a","end":true,"n":3}` + "\n", 2, "", false},
 		{"truncated", one + two, 0, "12", false},
 		{"truncated within a line", one + `{"attempt":"a","n":2,`, 0, "1", false},
 		{"gap", two + end, 0, "", false},
