Give each call whose response names no request a connection of its own

What could go wrong: a late copy of a stage target's response was taken for the next call's, so that a request got an input of the one before; a copy of a rejection was taken for the answer of the same request's repeat, and its caller was told "not run" although the request ran. Cause: stage calls and reports are answered without anything that names the call; it was guessed from handles that had been seen before and from the time. A request that is sent to the same target again has the same ID as its first response. Evidence: trace of the listed failure: each copy that was taken came on another connection than its original, whose call the node had given up; no reading of handles can tell these. Change: stage calls, reports, requests without an ID and repeats at the same target run on a connection that no other request uses; the next one is opened while a call runs. Freeing results still shares connections: its answers are all alike.

--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -64,6 +64,9 @@
 	IsMismatched func(http.Header) bool
 	// IsOwn reports whether a response header names this request; it may be nil.
 	IsOwn func(http.Header) bool
+	// IsAlone is set if the request needs a connection of its own, since nothing in its response tells it from a late copy of an
+	// earlier response.
+	IsAlone bool
 }
 
 // Framing is how a response marks the end of its body.
@@ -100,14 +103,16 @@
 
 // Pool keeps connections to targets.
 type Pool struct {
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// unused has for each address at most one connection that no request was sent on.
+	unused map[string]*conn
 	dialer net.Dialer
 }
 
 // NewPool returns a pool without connections.
 func NewPool() *Pool {
-	return &Pool{idle: map[string][]*conn{}, dialer: NewDialer(dialTimeout)}
+	return &Pool{idle: map[string][]*conn{}, unused: map[string]*conn{}, dialer: NewDialer(dialTimeout)}
 }
 
 // NewDialer returns a dialer whose connections detect an unresponsive peer.
@@ -215,7 +220,11 @@
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
 	list := p.idle[address]
+	if c := p.unused[address]; c != nil {
+		list = append(list, c)
+	}
 	delete(p.idle, address)
+	delete(p.unused, address)
 	p.mu.Unlock()
 	for _, c := range list {
 		_ = c.netConn.Close()
@@ -253,7 +262,7 @@
 
 // Send sends a request and reads the response header; the connection is closed if ctx ends before the body does.
 func (p *Pool) Send(ctx context.Context, address string, r Request) (*Response, error) {
-	c := p.take(time.Now(), address)
+	c := p.takeFor(time.Now(), address, r)
 	if c == nil {
 		fresh, err := p.dial(ctx, address)
 		if err != nil {
@@ -265,6 +274,9 @@
 		p.put(time.Now(), address, c)
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, ctx.Err())
 	}
+	if r.IsAlone {
+		go p.prepare(address)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.netConn.Close() })
 	sent := make(chan error, 1)
 	head := r.head()
@@ -286,10 +298,51 @@
 	if framing(resp) == FramedByClose && r.IsOwn != nil {
 		resp.Body = &copyFilter{body: resp.Body, isOwn: r.IsOwn}
 	}
-	b := &responseBody{pool: p, address: address, conn: c, resp: resp, sent: sent, stopCancel: stop}
+	b := &responseBody{pool: p, address: address, conn: c, resp: resp, sent: sent, stopCancel: stop, isAlone: r.IsAlone}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Framing: framing(resp)}, nil
 }
 
+// takeFor returns an open connection for a request, or nil.
+func (p *Pool) takeFor(now time.Time, address string, r Request) *conn {
+	if !r.IsAlone {
+		return p.take(now, address)
+	}
+	p.mu.Lock()
+	c := p.unused[address]
+	delete(p.unused, address)
+	p.mu.Unlock()
+	if c == nil || (now.Before(c.idleUntil) && c.isUsable()) {
+		return c
+	}
+	_ = c.netConn.Close()
+	return nil
+}
+
+// prepare opens a connection for the next request that needs one of its own, so that the request does not wait for it.
+func (p *Pool) prepare(address string) {
+	p.mu.Lock()
+	isReady := p.unused[address] != nil
+	p.mu.Unlock()
+	if isReady {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		// The next request opens its connection itself, and reports the error.
+		return
+	}
+	c.idleUntil = time.Now().Add(c.keepAlive)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.unused[address] != nil {
+		_ = c.netConn.Close()
+		return
+	}
+	p.unused[address] = c
+}
+
 func (r Request) head() []byte {
 	var b bytes.Buffer
 	b.Grow(1024)
@@ -345,6 +398,7 @@
 	resp       *http.Response
 	sent       chan error
 	stopCancel func() bool
+	isAlone    bool
 	atEOF      bool
 	closed     bool
 }
@@ -364,7 +418,7 @@
 	}
 	b.closed = true
 	active := b.stopCancel()
-	reusable := b.atEOF && active && !b.resp.Close && b.isRequestSent()
+	reusable := !b.isAlone && b.atEOF && active && !b.resp.Close && b.isRequestSent()
 	if !reusable || framing(b.resp) == FramedByClose {
 		return b.conn.netConn.Close()
 	}
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -52,7 +52,7 @@
 // TargetClient calls stage targets; record is called with the notices of a response, if it has any.
 type TargetClient interface {
 	// RunBatch makes one call. An error means that no piece has a result.
-	RunBatch(ctx context.Context, now time.Time, t registry.Target, profile route.BatchProfile, pieces []batch.Piece, record notice.Recorder) (batch.Reply, error)
+	RunBatch(ctx context.Context, now time.Time, t registry.Target, pieces []batch.Piece, record notice.Recorder) (batch.Reply, error)
 	// AvailableSpace asks a target for the space that it has left for results.
 	AvailableSpace(ctx context.Context, t registry.Target, record notice.Recorder) (batch.Space, error)
 	// Free frees results on the target at an address.
--- a/internal/wire/dispatch/dispatcher_test.go
+++ b/internal/wire/dispatch/dispatcher_test.go
@@ -18,7 +18,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 )
 
-// fakeTargets is a TargetClient for tests; a call takes the time of its batch profile unless run says otherwise.
+// fakeTargets is a TargetClient for tests; a call takes the time of testProfile unless run says otherwise.
 type fakeTargets struct {
 	mu    sync.Mutex
 	calls []recordedCall
@@ -36,7 +36,7 @@
 	startedAt time.Time
 }
 
-func (f *fakeTargets) RunBatch(_ context.Context, now time.Time, t registry.Target, profile route.BatchProfile, pieces []batch.Piece, _ notice.Recorder) (batch.Reply, error) {
+func (f *fakeTargets) RunBatch(_ context.Context, now time.Time, t registry.Target, pieces []batch.Piece, _ notice.Recorder) (batch.Reply, error) {
 	f.mu.Lock()
 	f.calls = append(f.calls, recordedCall{target: t.ID, pieces: append([]batch.Piece(nil), pieces...), startedAt: now})
 	n := len(f.calls)
@@ -46,7 +46,7 @@
 			return batch.Reply{Results: out, Running: f.otherCalls}, err
 		}
 	}
-	time.Sleep(profile.CallDuration(len(pieces)))
+	time.Sleep(testProfile.CallDuration(len(pieces)))
 	return batch.Reply{Results: f.newResults(t, pieces), Running: f.otherCalls}, nil
 }
 
--- a/internal/wire/dispatch/settle.go
+++ b/internal/wire/dispatch/settle.go
@@ -15,7 +15,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), abandonFactor*c.Expected+overdueExtra)
 	defer cancel()
 	overdue := time.AfterFunc(time.Duration(overdueFactor*float64(c.Expected))+overdueExtra, func() { d.retryOverdue(s, c, profile) })
-	reply, err := d.cfg.Targets.RunBatch(ctx, c.Started, c.Target, profile, c.Pieces, d.recorder(c.Target.Run()))
+	reply, err := d.cfg.Targets.RunBatch(ctx, c.Started, c.Target, c.Pieces, d.recorder(c.Target.Run()))
 	overdue.Stop()
 	now := d.cfg.Now()
 	d.mu.Lock()
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -151,6 +151,8 @@
 	inputs []string
 	held   []heldResults
 	sends  int
+	// sentTo are the addresses of the targets that the request was sent to; another response from there has the same ID.
+	sentTo map[string]bool
 	// mayHaveRun is set if a target may have run the request.
 	mayHaveRun bool
 	log        logrus.Fields
@@ -173,7 +175,7 @@
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := g.cfg.Now()
-	rs := &requestState{Call: g.cfg.Headers.ParseRequest(now, r), table: g.cfg.Table(), log: logrus.Fields{}}
+	rs := &requestState{Call: g.cfg.Headers.ParseRequest(now, r), table: g.cfg.Table(), sentTo: map[string]bool{}, log: logrus.Fields{}}
 	out := g.admit(w, r, rs)
 	if out == nil {
 		out = g.serve(w, r, rs)
