Decide whether a starting node is a relay from all entries that it has read

Cause: a node that had read the entries waited 20 ms for a timer of 10 ms to put them in the registry; beside load it decided with the entries of its first list, took itself for a relay and watched all kinds. A node whose own entry was written before its first list took it for that of an earlier run and decided at once. Each costs three calls and more. Change: the entries are put in the registry before the decision, and an earlier entry is one with another start time.

--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -267,7 +267,7 @@
 // register writes the node's entry, and again whenever the store has lost it.
 func (n *Node) register(ctx context.Context) {
 	s := n.cfg.Settings
-	self := registry.Node{Name: s.Name, Address: s.PeerAddress, Datacentre: s.Datacentre, StartedAt: n.cfg.Now().UnixMilli(), LinkMbps: s.LinkMbps}
+	self := registry.Node{Name: s.Name, Address: s.PeerAddress, Datacentre: s.Datacentre, StartedAt: n.view.startedAt, LinkMbps: s.LinkMbps}
 	for ctx.Err() == nil {
 		n.writeEntry(ctx, self)
 		select {
--- a/internal/operator/gatewaynode/objects.go
+++ b/internal/operator/gatewaynode/objects.go
@@ -228,6 +228,17 @@
 	return v.cachedVersion(v.cfg.Platform.NodeKind, name)
 }
 
+// hasEarlierEntry reports whether the nodes' entries hold one from an earlier run of this node.
+func (v *fleetView) hasEarlierEntry(ctx context.Context) bool {
+	name := v.cfg.Settings.Name
+	if v.nodeEntryVersion(ctx, name) == 0 {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.nodes[name].StartedAt != v.startedAt
+}
+
 // cachedVersion returns the version of an object as it was last read, 0 if it is not known.
 func (v *fleetView) cachedVersion(kind, name string) object.Version {
 	v.mu.Lock()
--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -212,13 +212,14 @@
 	search := time.After(relayInitialDelay + rand.N(relayInitialDelay/4))
 	time.AfterFunc(settleTime, func() { close(v.source.settled) })
 	// A node that starts again finds the entries of all nodes; the others have to wait for them.
-	if v.nodeEntryVersion(ctx, v.cfg.Settings.Name) == 0 {
+	if !v.hasEarlierEntry(ctx) {
 		select {
 		case <-ctx.Done():
 		case <-v.source.nodesRead:
 		case <-time.After(roleTimeout):
 		}
-		pause(ctx, 2*coalesceWindow)
+		// The entries that were read may still wait to be put in the registry.
+		v.setNodes()
 	}
 	if !v.hasRelay() {
 		v.source.set(fromStore)
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -51,8 +51,10 @@
 
 // fleetView is a node's current view of the configuration and the fleet.
 type fleetView struct {
-	cfg           Config
-	meter         *metrics.Meter
+	cfg   Config
+	meter *metrics.Meter
+	// startedAt is the start time of the process in Unix milliseconds.
+	startedAt     int64
 	table         atomic.Pointer[route.Table]
 	registry      atomic.Pointer[registry.Registry]
 	targetsListed atomic.Bool
@@ -101,7 +103,7 @@
 }
 
 func newFleetView(cfg Config, m *metrics.Meter) *fleetView {
-	v := &fleetView{cfg: cfg, meter: m, tableLoaded: make(chan struct{}), nodesListed: make(chan struct{}), outOfService: map[string]bool{}, nodes: map[string]registry.Node{}, unavailableSince: map[string]time.Time{}, availableSince: map[string]time.Time{}, available: make(chan struct{}), cached: map[string]*cachedList{}, lastContact: map[string]time.Time{}, source: newChangeSource(), entryLost: make(chan struct{}, 1)}
+	v := &fleetView{cfg: cfg, meter: m, startedAt: cfg.Now().UnixMilli(), tableLoaded: make(chan struct{}), nodesListed: make(chan struct{}), outOfService: map[string]bool{}, nodes: map[string]registry.Node{}, unavailableSince: map[string]time.Time{}, availableSince: map[string]time.Time{}, available: make(chan struct{}), cached: map[string]*cachedList{}, lastContact: map[string]time.Time{}, source: newChangeSource(), entryLost: make(chan struct{}, 1)}
 	v.registry.Store(registry.New())
 	return v
 }
