Send victims of a crash again whose parts are known to be sound, and be ready before the reports of crashes are read

Cause: a request whose response had just begun was never sent again, although one lost target without any other evidence is most often just a lost target. A node was not ready until it had read the reports, although only requests with parts that others may have need them. A node is ready with a configuration and targets; requests with such parts wait for the reports before they are sent to a model target, 2 s after the start at most, while their stages run.

--- a/internal/fleet/quarantine/keeper.go
+++ b/internal/fleet/quarantine/keeper.go
@@ -171,6 +171,13 @@
 	})
 }
 
+// AreKnown reports whether this node has passed on a complete response for each of the parts.
+func (k *Keeper) AreKnown(parts []Part) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !slices.ContainsFunc(parts, func(p Part) bool { return !k.isKnown(p) })
+}
+
 func (k *Keeper) isKnown(p Part) bool { return k.known[p] || k.formerlyKnown[p] }
 
 func (k *Keeper) remember(parts []Part) {
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -37,7 +37,7 @@
 	deregisterTimeout = time.Second
 	// bootstrapDelay is how long the store may take to return the first lists before other nodes are asked for theirs.
 	bootstrapDelay = 400 * time.Millisecond
-	// crashWait bounds how long a node that has a configuration and targets stays not ready for the reports of crashes.
+	// crashWait bounds how long requests whose prompts may have a part in quarantine wait for the reports of crashes.
 	crashWait = 2 * time.Second
 	// peerWait is how long the lists of further nodes are waited for once one has answered.
 	peerWait = 300 * time.Millisecond
@@ -81,15 +81,15 @@
 	callerServer    *http.Server
 	internalServers []*http.Server
 	draining        atomic.Bool
-	// crashesKnown is set once the reports of crashes have been read, or have not come for crashWait.
-	crashesKnown atomic.Bool
+	// crashesKnown is closed once the reports of crashes have been read, or have not come for crashWait.
+	crashesKnown chan struct{}
 	cancel       context.CancelFunc
 }
 
 // Start opens the node's listeners and starts to follow the store.
 func Start(cfg Config) (*Node, error) {
 	cfg.Log = cfg.Log.WithField("node", cfg.Settings.Name)
-	n := &Node{cfg: cfg, view: newFleetView(cfg, cfg.Meter), meter: cfg.Meter}
+	n := &Node{cfg: cfg, view: newFleetView(cfg, cfg.Meter), meter: cfg.Meter, crashesKnown: make(chan struct{})}
 	n.build()
 	if err := n.listen(); err != nil {
 		return nil, merry.Prepend(err, "start")
@@ -124,7 +124,7 @@
 	n.dispatchClient = dispatch.NewClient(dispatch.ClientConfig{Self: s.Name, Local: n.dispatcher, Registry: n.view.registry.Load, Notices: n.notices, Log: n.cfg.Log, Now: n.cfg.Now})
 	n.gateway = gateway.New(gateway.Config{
 		Self: s.Name, Datacentre: s.Datacentre, Headers: n.cfg.Headers, Connections: n.cfg.Connections, Dispatch: n.dispatchClient,
-		Table: n.view.table.Load, Registry: n.view.registry.Load, Notices: n.notices, Quarantine: n.view.crashes.keeper, RetryBudget: s.RetryBudget, ColdLimit: s.ColdLimit,
+		Table: n.view.table.Load, Registry: n.view.registry.Load, Notices: n.notices, Quarantine: n.view.crashes.keeper, CrashesKnown: n.crashesKnown, RetryBudget: s.RetryBudget, ColdLimit: s.ColdLimit,
 		Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
 	})
 }
@@ -183,14 +183,14 @@
 
 // serveReady responds to the load balancer's readiness check.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if n.draining.Load() || n.view.table.Load() == nil || !n.view.targetsListed.Load() || !n.crashesKnown.Load() {
+	if n.draining.Load() || n.view.table.Load() == nil || !n.view.targetsListed.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
-// awaitCrashes sets crashesKnown.
+// awaitCrashes closes crashesKnown.
 func (n *Node) awaitCrashes(ctx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -198,7 +198,7 @@
 	case <-time.After(crashWait):
 		n.cfg.Log.Warn("node: reports of crashes have not been read yet")
 	}
-	n.crashesKnown.Store(true)
+	close(n.crashesKnown)
 }
 
 // bootstrap reads from other nodes the lists that the store does not return, until the node has a configuration and
--- a/internal/wire/gateway/crash.go
+++ b/internal/wire/gateway/crash.go
@@ -49,6 +49,18 @@
 	return parts
 }
 
+// awaitCrashes waits until the reports of crashes are known to a node that has just started, if the request has parts that other
+// requests may have.
+func (g *Gateway) awaitCrashes(ctx context.Context, rs *requestState) {
+	if len(rs.parts) == 0 {
+		return
+	}
+	select {
+	case <-g.cfg.CrashesKnown:
+	case <-ctx.Done():
+	}
+}
+
 // checkQuarantine returns the outcome of a request with a part in quarantine, nil for any other.
 func (g *Gateway) checkQuarantine(now time.Time, rs *requestState) *outcome {
 	verdict, ok := g.cfg.Quarantine.Check(now, rs.parts)
@@ -66,8 +78,9 @@
 // recordCrash records that a target crashed under a request whose response broke off, if it did, and reports whether the
 // request may not be sent again.
 //
-// A request whose response had just begun is the likely cause of the crash, and would end the next target too. Others that
-// were at the target are sent again, as long as few targets have crashed under their parts.
+// A request whose response had just begun is the likely cause of the crash, and would end the next target too, unless each of its
+// parts has been answered here before. Others that were at the target are sent again. Both only as long as few targets have crashed
+// under their parts.
 func (g *Gateway) recordCrash(ctx context.Context, rs *requestState, t registry.Target, at breakPoint) (noRepeat bool) {
 	if at == notBroken || len(rs.parts) == 0 {
 		return false
@@ -80,7 +93,7 @@
 	rs.log["crashed"] = t.ID
 	g.cfg.Meter.CountCrash(rs.service.Name, string(at))
 	g.cfg.Quarantine.RecordCrash(now, run, rs.parts, at == brokenBegun)
-	return at == brokenBegun || g.cfg.Quarantine.IsSuspect(now, rs.parts)
+	return (at == brokenBegun && !g.cfg.Quarantine.AreKnown(rs.parts)) || g.cfg.Quarantine.IsSuspect(now, rs.parts)
 }
 
 // crashedRun returns the run of a target that is ready by all accounts and refuses connections, and false if there is none. Cut
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -45,6 +45,7 @@
 
 // forward sends a request to targets until one answers it.
 func (g *Gateway) forward(ctx context.Context, r *http.Request, rs *requestState, rw *responseWriter) *outcome {
+	g.awaitCrashes(ctx, rs)
 	tried := map[string]bool{}
 	fallback := refusal(causeNoTarget, "service has no target that may be used", shortRetry)
 	for unsent := 0; unsent < maxUnsent; {
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -71,11 +71,13 @@
 	Registry    func() *registry.Registry
 	Notices     *notice.Keeper
 	Quarantine  *quarantine.Keeper
-	RetryBudget settings.RetryBudget
-	ColdLimit   settings.ColdLimit
-	Log         logrus.FieldLogger
-	Meter       Meter
-	Now         func() time.Time
+	// CrashesKnown is closed once the reports of crashes have been read, or have not come in time.
+	CrashesKnown <-chan struct{}
+	RetryBudget  settings.RetryBudget
+	ColdLimit    settings.ColdLimit
+	Log          logrus.FieldLogger
+	Meter        Meter
+	Now          func() time.Time
 }
 
 // Gateway serves callers.
