--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -89,6 +89,7 @@
 	token, _ := strconv.ParseUint(r.Header.Get(backend.HeaderFence), 10, 64)
 	decision, serviceTime, crashed := e.admit(x.id, token, cancel)
 	w.Header().Set(backend.HeaderBoot, e.bootID())
+	w.Header().Set(backend.HeaderAttempt, x.id)
 	switch decision {
 	case admitted:
 	case overCapacity:
--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -85,6 +85,9 @@
 type targetConns struct {
 	transport *http.Transport
 	http      httpc.Service
+	// alone is for calls whose responses name nothing: each has a connection of its own, on which no late copy of another
+	// response can come.
+	alone httpc.Service
 }
 
 // NewClient returns a client without connections.
@@ -101,13 +104,18 @@
 	if ok {
 		return tc
 	}
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	tc = &targetConns{transport: transport, http: httpc.NewServiceWithClient(clientName, &http.Client{Transport: transport})}
+	alone := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	tc = &targetConns{
+		transport: transport, http: httpc.NewServiceWithClient(clientName, &http.Client{Transport: transport}),
+		alone: httpc.NewServiceWithClient(clientName, &http.Client{Transport: alone}),
+	}
 	c.conns[address] = tc
 	return tc
 }
@@ -138,13 +146,17 @@
 	}
 	defer resp.Body.Close()
 	bootID := resp.Header.Get(HeaderBoot)
-	if resp.StatusCode != http.StatusOK {
-		return statusResult(resp, bootID)
+	if resp.StatusCode != http.StatusOK && resp.Header.Get(HeaderRefused) == "" {
+		return Incomplete{Reason: "status " + resp.Status, BootID: bootID}
 	}
+	// A late copy of another attempt's rejection says nothing of this one, which may run.
 	if resp.Header.Get(HeaderAttempt) != a.ID {
 		c.Counts.Mismatched.Add(1)
 		return Incomplete{Reason: "answer belongs to another attempt", BootID: bootID}
 	}
+	if reason := resp.Header.Get(HeaderRefused); resp.StatusCode != http.StatusOK {
+		return Refused{Reason: reason, BootID: bootID, Draining: reason == ReasonDraining}
+	}
 	headerLatency := time.Since(started)
 	if a.OnHeader != nil {
 		a.OnHeader(bootID)
@@ -177,14 +189,6 @@
 	return req
 }
 
-func statusResult(resp *http.Response, bootID string) Result {
-	reason := resp.Header.Get(HeaderRefused)
-	if reason != "" {
-		return Refused{Reason: reason, BootID: bootID, Draining: reason == ReasonDraining}
-	}
-	return Incomplete{Reason: "status " + resp.Status, BootID: bootID}
-}
-
 func (c *Client) errorResult(ctx context.Context, address string, tc *targetConns, bootID string, err error) Result {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
@@ -307,7 +311,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.connsTo(address).http.DoRequest(req)
+	resp, err := c.connsTo(address).alone.DoRequest(req)
 	if err != nil {
 		return nil, err
 	}
