Call what assembles a caller's stream an assembler

Cause: a relay is a node that passes on what it reads from the store; one word stood for two things. No change of behaviour. Measured: the tests of eventstream, connection and streams pass. Conclusion: names only.

--- a/internal/wire/eventstream/relay_test.go
+++ b/internal/wire/eventstream/assembler_test.go
@@ -7,7 +7,7 @@
 	"testing"
 )
 
-func TestRelayPassesEachEventOnce(t *testing.T) {
+func TestAssemblerPassesEachEventOnce(t *testing.T) {
 	const one, two, three = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
 	tests := []struct {
 		name  string
@@ -42,7 +42,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			r := NewRelay(tt.after)
+			r := NewAssembler(tt.after)
 			got, broken := "", false
 			var held []Verdict
 			for _, response := range tt.responses {
@@ -75,9 +75,9 @@
 	return b.String()
 }
 
-// FuzzRelay cuts responses at any byte, hands them over in reads of any length, and lets targets continue a stream, repeat its
+// FuzzAssembler cuts responses at any byte, hands them over in reads of any length, and lets targets continue a stream, repeat its
 // last event or start another run of it. A caller gets the events of one run that follow its place, each once and in order.
-func FuzzRelay(f *testing.F) {
+func FuzzAssembler(f *testing.F) {
 	f.Add(uint8(0), []byte{0, 200, 5, 0, 1, 9})
 	f.Add(uint8(2), []byte{0, 3, 5, 1, 200, 9, 2, 200, 1})
 	f.Add(uint8(1), []byte{3, 40, 2, 4, 41, 3, 8, 200, 7})
@@ -88,7 +88,7 @@
 		if place > 0 {
 			id = fmt.Sprint(place)
 		}
-		r := NewRelay(id)
+		r := NewAssembler(id)
 		got := ""
 		for i := 0; i+2 < len(script) && i < 30; i += 3 {
 			at := 0
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -27,8 +27,8 @@
 	w http.ResponseWriter
 	// headerSent is set once the header has been sent.
 	headerSent bool
-	// relay is the stream as far as the caller has it.
-	relay eventstream.Relay
+	// assembler is the stream as far as the caller has it.
+	assembler eventstream.Assembler
 	// stopMove is called with the response's first bytes and keeps the request at its target; it may be nil.
 	// onFirstByte is also called then.
 	stopMove    func()
@@ -53,7 +53,7 @@
 	if !rs.route.Resumable {
 		return &responseWriter{w: w}
 	}
-	return &responseWriter{w: w, relay: eventstream.NewRelay(rs.LastEventID)}
+	return &responseWriter{w: w, assembler: eventstream.NewAssembler(rs.LastEventID)}
 }
 
 // resumePoint returns the ID of the event after which a target is asked to go on, "" for the start of a stream.
@@ -61,7 +61,7 @@
 	if !rs.route.Resumable {
 		return rs.LastEventID
 	}
-	return rw.relay.Place.ID()
+	return rw.assembler.Place.ID()
 }
 
 // receivedBody is what a target has sent of a body, for the log.
--- a/internal/wire/gateway/stream.go
+++ b/internal/wire/gateway/stream.go
@@ -17,7 +17,7 @@
 	if !hasEvents(resp.Header) {
 		return rw.copyBody(ctx, r, resp)
 	}
-	rw.relay = rw.relay.WithResponse()
+	rw.assembler = rw.assembler.WithResponse()
 	rw.received = receivedBody{framing: resp.Framing, events: &eventstream.Progress{}}
 	buf := make([]byte, readSize)
 	eventless := 0
@@ -25,12 +25,12 @@
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			rw.recordFirstByte()
-			events := rw.relay.Response.Events
+			events := rw.assembler.Response.Events
 			failure, e := rw.passEvents(resp, buf[:n])
 			if e != nil {
 				return sendResult{final: cancellation()}
 			}
-			if eventless += n; rw.relay.Response.Events > events {
+			if eventless += n; rw.assembler.Response.Events > events {
 				eventless = 0
 			}
 			if eventless > maxEventBytes {
@@ -44,7 +44,7 @@
 			continue
 		}
 		if err == io.EOF {
-			err = rw.relay.Response.EndError(resp.Framing != connection.FramedByClose)
+			err = rw.assembler.Response.EndError(resp.Framing != connection.FramedByClose)
 			if err == nil && rw.endsWithCrash(resp) {
 				err = errCrashed
 			}
@@ -53,7 +53,7 @@
 			return rw.interruption(ctx, r, resumable, err)
 		}
 		rw.start(resp)
-		if e := rw.write(rw.relay.Rest()); e != nil {
+		if e := rw.write(rw.assembler.Rest()); e != nil {
 			return sendResult{final: cancellation()}
 		}
 		return sendResult{final: &outcome{kind: answered, status: resp.Status, written: true}}
@@ -63,10 +63,10 @@
 // passEvents passes on what data completes. failure is set if the response cannot be used further, err if the caller has left.
 func (rw *responseWriter) passEvents(resp *connection.Response, data []byte) (failure, err error) {
 	var passed eventstream.Passed
-	rw.relay, passed, failure = rw.relay.With(data)
+	rw.assembler, passed, failure = rw.assembler.With(data)
 	rw.received.bytes += len(data)
-	*rw.received.events = rw.relay.Response
-	rw.received.lastEvent = rw.relay.Place.ID()
+	*rw.received.events = rw.assembler.Response
+	rw.received.lastEvent = rw.assembler.Place.ID()
 	rw.received.held = append(rw.received.held, passed.Held...)
 	if len(passed.Text) == 0 {
 		return failure, nil
@@ -124,7 +124,7 @@
 		return sendResult{fallback: failure(http.StatusBadGateway, causeTruncated, "stream was cut before its first event").withError(err), mayHaveRun: true, countsAsAttempt: true, broken: broken}
 	}
 	out := &outcome{kind: truncated, cause: causeTruncated, reason: "stream was cut: " + err.Error(), abort: true}
-	if !resumable || !rw.relay.Place.CanContinue() || (ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved)) {
+	if !resumable || !rw.assembler.Place.CanContinue() || (ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved)) {
 		return sendResult{final: out, broken: broken}
 	}
 	return sendResult{fallback: out, mayHaveRun: true, countsAsAttempt: true, broken: broken}
