Strike the parts of a long prompt that were never answered first

Cause: a crash struck the first sixteen parts of a request, so that a part behind them was never put in quarantine. Change: of more than sixteen parts, those that this node has never passed on a complete response for come first. Measured: TestPartBehindManyOthersIsFound failed (no verdict) and passes; the quarantine's model and tests pass. Conclusion: more than sixteen new parts in one prompt are still not all struck.

--- a/internal/fleet/quarantine/keeper.go
+++ b/internal/fleet/quarantine/keeper.go
@@ -128,13 +128,32 @@
 // response and not yet sent anything complete.
 func (k *Keeper) RecordCrash(now time.Time, run notice.Target, parts []Part, begun bool) {
 	k.change(now, Immediate, func(r Report) Report {
-		for _, p := range parts[:min(len(parts), maxStruckParts)] {
+		for _, p := range k.mostDoubtful(parts) {
 			r = r.WithStrike(Strike{Part: p, Run: run, At: now, Begun: begun, Known: k.isKnown(p)})
 		}
 		return r
 	})
 }
 
+// mostDoubtful returns at most maxStruckParts of a request's parts; those that were never answered here come first.
+func (k *Keeper) mostDoubtful(parts []Part) []Part {
+	if len(parts) <= maxStruckParts {
+		return parts
+	}
+	list := slices.Clone(parts)
+	slices.SortStableFunc(list, func(a, b Part) int {
+		switch aKnown := k.isKnown(a); {
+		case aKnown == k.isKnown(b):
+			return 0
+		case aKnown:
+			return 1
+		default:
+			return -1
+		}
+	})
+	return list[:maxStruckParts]
+}
+
 // RecordPlannedStop records that a run of a target has ended, or is about to, by plan: what it broke off is no crash.
 func (k *Keeper) RecordPlannedStop(now time.Time, run notice.Target) {
 	isStruck := func(s Strike) bool { return s.Run == run }
--- a/internal/fleet/quarantine/keeper_test.go
+++ b/internal/fleet/quarantine/keeper_test.go
@@ -141,3 +141,21 @@
 		t.Errorf("got a quarantine %t with %d strikes, want none with %d", ok, len(k.Own(due).Strikes), clearIncidents-1)
 	}
 }
+
+// TestPartBehindManyOthersIsFound covers a part that crashes targets behind more parts than one crash strikes.
+func TestPartBehindManyOthersIsFound(t *testing.T) {
+	var log keeperLog
+	k := newTestKeeper(&log)
+	var sound []Part
+	for i := range 2 * maxStruckParts {
+		sound = append(sound, Part{Service: bad.Service, ID: "sound" + string(rune('a'+i))})
+	}
+	k.RecordComplete(start.Add(-time.Minute), start.Add(-time.Minute), sound)
+	for i := range clearIncidents {
+		k.RecordCrash(start.Add(time.Duration(i)*time.Second), runOf(i), append(slices.Clone(sound), bad), true)
+	}
+	due := start.Add((clearIncidents-1)*time.Second + clearGrace)
+	if verdict, ok := k.Check(due, append(slices.Clone(sound), bad)); !ok || !slices.Equal(verdict.Parts, []Part{bad}) {
+		t.Errorf("got verdict on %v (%t), want one on %s alone", verdict.Parts, ok, bad.ID)
+	}
+}
