Continue a broken-off stream with inputs that are there

What callers saw: a stream whose target broke off was cut, or answered with 502, although it may be resumed. Cause: the inputs were freed with the first byte of a response. A second target then rejected the request, since its inputs were gone, and the attempt was spent, so that nothing was left after the stages had run again. Change: inputs are freed when the first event leaves. A request whose inputs have been freed runs its stages again before it goes to another target.

--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -62,6 +62,9 @@
 		if out := g.checkQuarantine(now, rs); out != nil {
 			return out
 		}
+		if rs.inputsFreed {
+			return fallback.withInputLost()
+		}
 		c, wait := g.pickTarget(now, rs, tried)
 		switch {
 		case c == nil && wait.IsZero():
@@ -272,8 +275,9 @@
 	rw.onFirstByte = func() {
 		markPromptRead()
 		g.recordFirstByte(rs, g.cfg.Now().Sub(started))
-		g.releaseResults(rs)
 	}
+	// Another target may need the inputs as long as nothing has been sent to the caller.
+	rw.onStart = func() { g.releaseResults(rs) }
 	rw.hasCrashed = func() bool {
 		_, ok := g.crashedRun(ctx, t)
 		return ok
@@ -409,6 +413,7 @@
 		return sendResult{fallback: failure(http.StatusBadGateway, causeTruncated, "answer was cut").withError(err), mayHaveRun: true, countsAsAttempt: true, broken: bufferedBreak(ctx)}
 	}
 	rw.onFirstByte()
+	rw.onStart()
 	return sendResult{final: buffered.write(rw.w)}
 }
 
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -152,7 +152,9 @@
 	// been freed yet.
 	inputs []string
 	held   []heldResults
-	sends  int
+	// inputsFreed is set once the inputs have been freed, so that no further target can read them.
+	inputsFreed bool
+	sends       int
 	// sentTo are the addresses of the targets that the request was sent to; another response from there has the same ID.
 	sentTo map[string]bool
 	// mayHaveRun is set if a target may have run the request.
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -97,6 +97,12 @@
 	return &o
 }
 
+// withInputLost returns the outcome of a request that may be sent again once its stages have run again.
+func (o outcome) withInputLost() *outcome {
+	o.inputLost = true
+	return &o
+}
+
 func cancellation() *outcome {
 	return &outcome{kind: cancelled, cause: causeCaller, reason: "caller left", abort: true}
 }
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -29,10 +29,11 @@
 	headerSent bool
 	// assembler is the stream as far as the caller has it.
 	assembler eventstream.Assembler
-	// stopMove is called with the response's first bytes and keeps the request at its target; it may be nil.
-	// onFirstByte is also called then.
+	// stopMove is called with the response's first bytes and keeps the request at its target; it may be nil. onFirstByte is also
+	// called then, onStart before the header is sent.
 	stopMove    func()
 	onFirstByte func()
+	onStart     func()
 	// hasCrashed reports whether the target of the current response is gone.
 	hasCrashed func() bool
 	// received is what the last target has sent.
@@ -181,6 +182,7 @@
 		return
 	}
 	rw.headerSent = true
+	rw.onStart()
 	copyHeader(rw.w, resp.Header)
 	rw.w.Header().Del("Content-Length")
 	rw.w.WriteHeader(resp.Status)
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -72,7 +72,7 @@
 
 // runStages runs the stages of a request; it returns nil if all results are there.
 func (g *Gateway) runStages(ctx context.Context, r *http.Request, rs *requestState) *outcome {
-	rs.inputs = nil
+	rs.inputs, rs.inputsFreed = nil, false
 	if len(rs.route.Stages) == 0 {
 		return nil
 	}
@@ -227,6 +227,7 @@
 func (g *Gateway) releaseResults(rs *requestState) {
 	g.freeResults(rs.held)
 	rs.held = nil
+	rs.inputsFreed = len(rs.inputs) > 0
 }
 
 func (g *Gateway) freeResults(list []heldResults) {
