Answer requests that are read while a stopping server closes its listener

What callers saw: during a planned stop under load a request on a connection that had just been accepted ended without an answer. Cause: http.Server closes a connection without a response if its request is read after Shutdown has begun. Change: transport.Listener closes itself first, waits until the server has taken over each accepted connection and no request is on its way, and only then shuts the server down; for callers of both interfaces and for operators.

--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -79,6 +79,7 @@
 	gateway         *gateway.Gateway
 	peerServer      *grpc.Server
 	callerServer    *http.Server
+	callerListener  *transport.Listener
 	internalServers []*http.Server
 	draining        atomic.Bool
 	// crashesKnown is closed once the reports of crashes have been read, or have not come for crashWait.
@@ -150,7 +151,8 @@
 	}
 	// Uses the standard server without a library's router, because request targets must be forwarded unchanged.
 	n.callerServer = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: gateway.ConnContext}
-	go n.serve("callers", func() error { return n.callerServer.Serve(callers) })
+	n.callerListener = transport.NewListener(callers, n.callerServer, n.cfg.Now)
+	go n.serve("callers", func() error { return n.callerServer.Serve(n.callerListener) })
 	readyRoutes := []rest.Route{{Method: http.MethodGet, Path: n.cfg.ReadyPath, Handler: n.serveReady}}
 	if err := n.serveInternal(listen, "ready", s.ReadyAddress, readyRoutes); err != nil {
 		return err
@@ -176,7 +178,11 @@
 }
 
 func (n *Node) serve(name string, run func() error) {
-	if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
+	err := run()
+	if n.draining.Load() && errors.Is(err, net.ErrClosed) {
+		return
+	}
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
 		n.cfg.Log.WithError(err).WithField("side", name).Error("node: server failed")
 	}
 }
@@ -353,7 +359,7 @@
 	time.Sleep(min(balancerLag, grace/2))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-n.cfg.Now().Sub(started))
 	defer cancel()
-	if err := n.callerServer.Shutdown(ctx); err != nil {
+	if err := n.callerListener.Drain(ctx); err != nil {
 		n.cfg.Log.WithError(err).Warn("node: requests were still running at the end of the grace period")
 		_ = n.callerServer.Close()
 	}
--- a/internal/operator/process/process.go
+++ b/internal/operator/process/process.go
@@ -43,11 +43,17 @@
 	PeerListener net.Listener
 }
 
+// server is an HTTP server with its listener.
+type server struct {
+	http     *http.Server
+	listener *transport.Listener
+}
+
 // Process is a node with its servers.
 type Process struct {
 	cfg              Config
 	node             *node.Node
-	servers          []*http.Server
+	servers          []server
 	callerListener   net.Listener
 	operatorListener net.Listener
 }
@@ -173,10 +179,11 @@
 }
 
 func (p *Process) serve(h http.Handler, l net.Listener) {
-	server := transport.NewServer(h)
-	p.servers = append(p.servers, server)
+	s := transport.NewServer(h)
+	listener := transport.NewListener(l, s, time.Now)
+	p.servers = append(p.servers, server{http: s, listener: listener})
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			p.cfg.Log.WithError(err).Error("process: server failed")
 		}
 	}()
@@ -201,8 +208,10 @@
 func (p *Process) Stop(ctx context.Context) {
 	p.node.Drain(ctx)
 	for _, s := range p.servers {
-		_ = s.Shutdown(ctx)
-		_ = s.Close()
+		if err := s.listener.Drain(ctx); err != nil {
+			p.cfg.Log.WithError(err).Warn("process: requests were still running at the end of the grace period")
+		}
+		_ = s.http.Close()
 	}
 	p.node.Leave(ctx)
 }
@@ -210,7 +219,7 @@
 // Kill stops the process abruptly, as a crash would.
 func (p *Process) Kill() {
 	for _, s := range p.servers {
-		_ = s.Close()
+		_ = s.http.Close()
 	}
 	p.node.Kill()
 }
--- /dev/null
+++ b/internal/wire/transport/drain.go
@@ -0,0 +1,104 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	// newConnWait is how long a new connection may take to bring its first request while its server drains.
+	newConnWait = time.Second
+	// drainInterval is the time between two looks at the connections of a server that drains.
+	drainInterval = 5 * time.Millisecond
+)
+
+// Listener is the listener of one server, which knows the connections that bring a request or wait for a response.
+//
+// http.Server.Shutdown closes a connection without a response if its request is read after the call began. Drain therefore closes
+// the listener first, and shuts the server down once no request is on its way.
+type Listener struct {
+	net.Listener
+	server *http.Server
+	now    func() time.Time
+	// ended is closed once the listener has been closed and the server has taken over all connections; endOnce guards it.
+	ended   chan struct{}
+	endOnce sync.Once
+
+	mu sync.Mutex
+	// opened has the time at which each new connection was accepted, active those with a request.
+	opened map[net.Conn]time.Time
+	active map[net.Conn]bool
+}
+
+// NewListener returns the listener with which a server has to be served, and sets the server's ConnState.
+func NewListener(l net.Listener, s *http.Server, now func() time.Time) *Listener {
+	t := &Listener{Listener: l, server: s, now: now, ended: make(chan struct{}), opened: map[net.Conn]time.Time{}, active: map[net.Conn]bool{}}
+	s.ConnState = t.record
+	return t
+}
+
+// Accept accepts a connection. The server has taken over the former one when it calls Accept again.
+func (l *Listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		l.endOnce.Do(func() { close(l.ended) })
+	}
+	return conn, err
+}
+
+func (l *Listener) record(conn net.Conn, state http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.opened, conn)
+	delete(l.active, conn)
+	switch state {
+	case http.StateNew:
+		l.opened[conn] = l.now()
+	case http.StateActive:
+		l.active[conn] = true
+	}
+}
+
+// isBusy reports whether a request is being answered, or may be on its way on a new connection.
+func (l *Listener) isBusy(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, at := range l.opened {
+		if now.Sub(at) < newConnWait {
+			return true
+		}
+	}
+	return len(l.active) > 0
+}
+
+// Drain closes the listener, waits until no request is on its way or being answered, and shuts the server down. Serve returns
+// net.ErrClosed then. The error is that of ctx if requests were still running when it ended.
+func (l *Listener) Drain(ctx context.Context) error {
+	l.server.SetKeepAlivesEnabled(false)
+	if err := l.Close(); err != nil {
+		return merry.Prepend(err, "close listener")
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.ended:
+	}
+	for l.isBusy(l.now()) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(drainInterval):
+		}
+	}
+	// The server may still hold the closed listener.
+	if err := l.server.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
