Bound what is kept of held events

Cause: each event that was held back was kept until the end of its response; a target that repeats an event without end would fill a small node's memory. Change: the first held event and their number are kept, the metric counts each as it is held. Conclusion: found in reading the change; no change of what callers get.

--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -14,6 +14,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/balancer"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/call"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/eventstream"
 )
 
 const (
@@ -278,6 +279,7 @@
 	}
 	// Another target may need the inputs as long as nothing has been sent to the caller.
 	rw.onStart = func() { g.releaseResults(rs) }
+	rw.onHeld = func(h eventstream.Held) { g.cfg.Meter.CountHeldEvent(rs.service.Name, string(h.Verdict)) }
 	rw.hasCrashed = func() bool {
 		_, ok := g.crashedRun(ctx, t)
 		return ok
@@ -288,9 +290,6 @@
 	targetFailed := result.final == nil || result.final.kind == truncated
 	backoff := g.loads.finish(g.cfg.Now(), t.ID, targetFailed && r.Context().Err() == nil)
 	rw.received.addTo(rs.log)
-	for _, h := range rw.received.held {
-		g.cfg.Meter.CountHeldEvent(rs.service.Name, string(h.Verdict))
-	}
 	g.cfg.Meter.CountResponse(rs.service.Name, string(rw.received.framing), !result.isTruncated())
 	if targetFailed {
 		g.logFailedAttempt(rs, t, resp.Status, flags, rw.received, result, backoff)
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -36,6 +36,8 @@
 	onStart     func()
 	// hasCrashed reports whether the target of the current response is gone.
 	hasCrashed func() bool
+	// onHeld is called for each event that is held back.
+	onHeld func(eventstream.Held)
 	// received is what the last target has sent.
 	received receivedBody
 }
@@ -71,9 +73,10 @@
 	bytes   int
 	// events is set for a stream only.
 	events *eventstream.Progress
-	// lastEvent is the ID of the last event that was passed on, held are the events that were not.
+	// lastEvent is the ID of the last event that was passed on, firstHeld the first of heldCount events that were not.
 	lastEvent string
-	held      []eventstream.Held
+	firstHeld eventstream.Held
+	heldCount int
 }
 
 func (b receivedBody) addTo(fields logrus.Fields) {
@@ -86,10 +89,10 @@
 	if b.lastEvent != "" {
 		fields["last_event"] = b.lastEvent
 	}
-	if len(b.held) > 0 {
-		fields["held"] = len(b.held)
-		fields["held_event"] = b.held[0].ID
-		fields["held_reason"] = b.held[0].Verdict
+	if b.heldCount > 0 {
+		fields["held"] = b.heldCount
+		fields["held_event"] = b.firstHeld.ID
+		fields["held_reason"] = b.firstHeld.Verdict
 	}
 }
 
--- a/internal/wire/gateway/stream.go
+++ b/internal/wire/gateway/stream.go
@@ -67,7 +67,13 @@
 	rw.received.bytes += len(data)
 	*rw.received.events = rw.assembler.Response
 	rw.received.lastEvent = rw.assembler.Place.ID()
-	rw.received.held = append(rw.received.held, passed.Held...)
+	for _, h := range passed.Held {
+		if rw.received.heldCount == 0 {
+			rw.received.firstHeld = h
+		}
+		rw.received.heldCount++
+		rw.onHeld(h)
+	}
 	if len(passed.Text) == 0 {
 		return failure, nil
 	}
--- a/internal/wire/transport/drain_test.go
+++ b/internal/wire/transport/drain_test.go
@@ -22,7 +22,7 @@
 			t.Fatal(err)
 		}
 		var read sync.Map
-		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { time.Sleep(2 * time.Millisecond) })}
+		s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(2 * time.Millisecond) })}
 		server := NewListener(acceptRecorder{l, &read}, s, time.Now)
 		go func() { _ = s.Serve(server) }()
 		var clients sync.WaitGroup
