Log the limits that targets name

Change: Server-Limit is read from every response and kept beside the other notices; a line and a count when a target names a limit, another one or none any more; the limit in the lines of a chosen target and of a stage call. Nothing decides by it. Measured: tests of notices, dispatcher and platform pass.

--- a/internal/fleet/notice/keeper.go
+++ b/internal/fleet/notice/keeper.go
@@ -41,14 +41,21 @@
 	return k.board
 }
 
-// Record adds the notices of one response; err is set if the response has a value that cannot be used.
+// Record adds the notices of one response, which are all that it says; err is set if it has a value that cannot be used.
 func (k *Keeper) Record(now time.Time, t Target, list []Notice, err error) {
 	if err != nil {
 		k.cfg.OnInvalid(t, err)
 	}
+	isLimited := false
 	for _, n := range list {
+		if _, ok := n.(Limit); ok {
+			isLimited = true
+		}
 		k.add(now, t, n, FromTarget)
 	}
+	if !isLimited && err == nil {
+		k.add(now, t, Unlimited{}, FromTarget)
+	}
 }
 
 // Learn adds targets that said to another node that they leave.
--- a/internal/operator/gatewaynode/notices.go
+++ b/internal/operator/gatewaynode/notices.go
@@ -21,6 +21,12 @@
 		n.meter.CountNotice(target.Service, "pause")
 		log.WithField("for_ms", what.Duration.Milliseconds()).Info("fleet: target wants no requests for a time")
 		time.AfterFunc(what.Duration, n.dispatcher.Refresh)
+	case notice.Limit:
+		n.meter.CountNotice(target.Service, "limit")
+		log.WithField("limit", what.PerSecond).Info("fleet: target names a limit of requests a second")
+	case notice.Unlimited:
+		n.meter.CountNotice(target.Service, "unlimited")
+		log.Info("fleet: target names no limit any more")
 	}
 	go n.dispatcher.Refresh()
 }
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -49,7 +49,7 @@
 	ErrDraining = merry.Sentinel("desk is leaving")
 )
 
-// TargetClient calls stage targets; record is called with the notices of a response, if it has any.
+// TargetClient calls stage targets; record is called with the notices of a response.
 type TargetClient interface {
 	// RunBatch makes one call. An error means that no piece has a result.
 	RunBatch(ctx context.Context, now time.Time, t registry.Target, pieces []batch.Piece, record notice.Recorder) (batch.Reply, error)
@@ -328,10 +328,14 @@
 // logCallStarted logs a call with the requests whose pieces are in it.
 func (d *Dispatcher) logCallStarted(s *shardScheduler, c *batch.Call, profile route.BatchProfile) {
 	d.cfg.Meter.SetQueuedPieces(s.service, s.Len())
-	d.cfg.Log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"service": s.service, "target": c.Target.ID, "datacentre": c.Target.Datacentre, "revision": c.Target.Version.Revision(), "pieces": len(c.Pieces), "places": profile.MaxSize,
 		"waiting": c.QueueLength, "held": c.HeldBytes, "hidden": c.UntrackedBytes, "sure": c.StartsAtOnce, "expected_ms": c.Expected.Milliseconds(), "requests": c.Requests(),
-	}).Info("desk: stage call begun")
+	}
+	if limit, ok := d.cfg.Notices.Board().Limit(c.Target.Run()); ok {
+		fields["limit"] = limit.PerSecond
+	}
+	d.cfg.Log.WithFields(fields).Info("desk: stage call begun")
 }
 
 // recordRejected logs and counts a group that was refused or expired.
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -204,6 +204,9 @@
 	if after != "" {
 		fields["after"] = after
 	}
+	if limit, ok := g.cfg.Notices.Board().Limit(c.Target.Run()); ok {
+		fields["limit"] = limit.PerSecond
+	}
 	g.cfg.Log.WithFields(fields).Info("gateway: target chosen")
 }
 
@@ -308,9 +311,7 @@
 		return
 	}
 	list, err := g.cfg.Headers.ParseNotices(resp.Status, resp.Header)
-	if len(list) > 0 || err != nil {
-		g.cfg.Notices.Record(g.cfg.Now(), t.Run(), list, err)
-	}
+	g.cfg.Notices.Record(g.cfg.Now(), t.Run(), list, err)
 }
 
 func (g *Gateway) logFailedAttempt(rs *requestState, t registry.Target, status int, flags call.ResponseFlags, received receivedBody, result sendResult, backoff time.Duration) {
