Order what responses say of a limit, and end limits that nobody repeats

Cause: the limits were kept in the order in which responses came; a late response without a limit would lift a newer one, and a limit that no response repeats would hold for good. Change: a report has the times of its request and response; it counts if it is newer, and of two whose order is not known the stricter holds. Conclusion: groundwork of the fix.

--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -33,24 +33,15 @@
 // Pause is the notice of a target that wants no requests from this node for a time.
 type Pause struct{ Duration time.Duration }
 
-// Limit is the notice of a target that takes no more than PerSecond requests a second from all nodes together, for as long
-// as its responses say so.
-type Limit struct{ PerSecond float64 }
-
-// Unlimited is the notice of a target whose response names no limit.
-type Unlimited struct{}
-
-func (Leaving) notice()   {}
-func (Pause) notice()     {}
-func (Limit) notice()     {}
-func (Unlimited) notice() {}
+func (Leaving) notice() {}
+func (Pause) notice()   {}
 
 // Board is an immutable record of notices; the zero value is empty.
 type Board struct {
 	// leavingSince holds when each target first said that it leaves.
 	leavingSince map[Target]time.Time
 	pausedUntil  map[Target]time.Time
-	limits       map[Target]Limit
+	limits       map[Target]knownLimit
 }
 
 // With returns the board with a notice received at now, and reports whether it says anything new.
@@ -71,23 +62,6 @@
 		b.pausedUntil = pruned(b.pausedUntil, now.Add(-RecoveryTime))
 		b.pausedUntil[t] = until
 		return b, true
-	case Limit:
-		if known, ok := b.limits[t]; ok && known == n {
-			return b, false
-		}
-		b.limits = maps.Clone(b.limits)
-		if b.limits == nil {
-			b.limits = map[Target]Limit{}
-		}
-		b.limits[t] = n
-		return b, true
-	case Unlimited:
-		if _, ok := b.limits[t]; !ok {
-			return b, false
-		}
-		b.limits = maps.Clone(b.limits)
-		delete(b.limits, t)
-		return b, true
 	default:
 		return b, false
 	}
@@ -123,12 +97,6 @@
 	return ok && now.Before(until.Add(RecoveryTime))
 }
 
-// Limit returns the limit that a target has named; false if it has named none.
-func (b Board) Limit(t Target) (Limit, bool) {
-	l, ok := b.limits[t]
-	return l, ok
-}
-
 // News lists the targets that have lately said that they leave, for other nodes.
 func (b Board) News(now time.Time) []Target {
 	var list []Target
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -339,6 +339,7 @@
 			return
 		case <-time.After(pruneInterval):
 			n.gateway.PruneTargets(n.cfg.Now())
+			n.notices.DropExpired(n.cfg.Now())
 			n.view.crashes.prune(ctx, n.cfg.Now())
 		}
 	}
--- a/internal/operator/gatewaynode/notices.go
+++ b/internal/operator/gatewaynode/notices.go
@@ -9,7 +9,7 @@
 )
 
 // onNotice logs and counts what a target has said of itself, and lets waiting pieces be placed anew.
-func (n *Node) onNotice(_ time.Time, t notice.Target, what notice.Notice, from notice.Source) {
+func (n *Node) onNotice(now time.Time, t notice.Target, what notice.Notice, from notice.Source) {
 	target, _ := n.view.registry.Load().Target(t.ID)
 	log := n.cfg.Log.WithFields(logrus.Fields{"target": t.ID, "service": target.Service, "state": string(target.State), "from": string(from)})
 	switch what := what.(type) {
@@ -22,15 +22,25 @@
 		log.WithField("for_ms", what.Duration.Milliseconds()).Info("fleet: target wants no requests for a time")
 		time.AfterFunc(what.Duration, n.dispatcher.Refresh)
 	case notice.Limit:
-		n.meter.CountNotice(target.Service, "limit")
-		log.WithField("limit", what.PerSecond).Info("fleet: target names a limit of requests a second")
-	case notice.Unlimited:
-		n.meter.CountNotice(target.Service, "unlimited")
-		log.Info("fleet: target names no limit any more")
+		n.onLimit(now, t, what, target.Service, log)
 	}
 	go n.dispatcher.Refresh()
 }
 
+// onLimit logs and counts a limit that is new, has changed or has ended.
+func (n *Node) onLimit(now time.Time, t notice.Target, limit notice.Limit, service string, log logrus.FieldLogger) {
+	if r, ok := n.notices.Board().LimitReport(now, t); ok {
+		log = log.WithField("age_ms", now.Sub(r.HeardAt).Milliseconds())
+	}
+	if !limit.IsSet() {
+		n.meter.CountNotice(service, "limit ended")
+		log.Info("fleet: target names no limit any more")
+		return
+	}
+	n.meter.CountNotice(service, "limit")
+	log.WithField("limit", limit.PerSecond).Info("fleet: target names a limit of requests a second")
+}
+
 func (n *Node) onInvalidNotice(t notice.Target, err error) {
 	n.cfg.Log.WithError(err).WithField("target", t.ID).Warn("fleet: target sent an invalid header")
 }
--- a/internal/wire/dispatch/client.go
+++ b/internal/wire/dispatch/client.go
@@ -237,7 +237,7 @@
 			return nil, err
 		}
 		timeout.Reset(heartbeatTimeout)
-		c.cfg.Notices.Learn(c.cfg.Now(), fromRuns(p.Leaving))
+		c.cfg.Notices.Learn(c.cfg.Now(), fromRuns(p.Leaving), nil)
 		switch progressState(p.State) {
 		case stateQueued, stateHeartbeat:
 		case stateInputsFetched:
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -274,9 +274,12 @@
 	s.SetPauses(pauses)
 }
 
-// recorder returns the function that records what a target says of itself.
+// recorder returns the function that records what a target says of itself in the response to a call that starts now.
 func (d *Dispatcher) recorder(t notice.Target) notice.Recorder {
-	return func(list []notice.Notice, err error) { d.cfg.Notices.Record(d.cfg.Now(), t, list, err) }
+	sentAt := d.cfg.Now()
+	return func(list []notice.Notice, err error) {
+		d.cfg.Notices.Record(d.cfg.Now(), t, notice.Response{SentAt: sentAt, Notices: list, Err: err})
+	}
 }
 
 // Refresh updates every scheduler that has queued pieces after the registry or the space of targets has changed.
@@ -332,7 +335,7 @@
 		"service": s.service, "target": c.Target.ID, "datacentre": c.Target.Datacentre, "revision": c.Target.Version.Revision(), "pieces": len(c.Pieces), "places": profile.MaxSize,
 		"waiting": c.QueueLength, "held": c.HeldBytes, "hidden": c.UntrackedBytes, "sure": c.StartsAtOnce, "expected_ms": c.Expected.Milliseconds(), "requests": c.Requests(),
 	}
-	if limit, ok := d.cfg.Notices.Board().Limit(c.Target.Run()); ok {
+	if limit := d.cfg.Notices.Board().Limit(c.Started, c.Target.Run()); limit.IsSet() {
 		fields["limit"] = limit.PerSecond
 	}
 	d.cfg.Log.WithFields(fields).Info("desk: stage call begun")
--- a/internal/wire/dispatch/server.go
+++ b/internal/wire/dispatch/server.go
@@ -41,7 +41,7 @@
 	}
 	now := s.dispatcher.cfg.Now()
 	notices := s.dispatcher.cfg.Notices
-	notices.Learn(now, fromRuns(m.Leaving))
+	notices.Learn(now, fromRuns(m.Leaving), nil)
 	g := fromMessage(now, m)
 	// Send errors are ignored: a disconnected caller ends the stream's context.
 	results, err := s.dispatcher.Produce(out.Context(), g, Callbacks{
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/coldstart"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/balancer"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/call"
@@ -204,7 +205,7 @@
 	if after != "" {
 		fields["after"] = after
 	}
-	if limit, ok := g.cfg.Notices.Board().Limit(c.Target.Run()); ok {
+	if limit := g.cfg.Notices.Board().Limit(now, c.Target.Run()); limit.IsSet() {
 		fields["limit"] = limit.PerSecond
 	}
 	g.cfg.Log.WithFields(fields).Info("gateway: target chosen")
@@ -275,7 +276,7 @@
 		return result
 	}
 	defer resp.Body.Close()
-	g.recordNotices(t, resp)
+	g.recordNotices(started, t, resp)
 	rw.onFirstByte = func() {
 		markPromptRead()
 		g.recordFirstByte(rs, g.cfg.Now().Sub(started))
@@ -306,12 +307,12 @@
 }
 
 // recordNotices records what a response says of its target. A target at the address of another one speaks for itself only.
-func (g *Gateway) recordNotices(t registry.Target, resp *connection.Response) {
+func (g *Gateway) recordNotices(sentAt time.Time, t registry.Target, resp *connection.Response) {
 	if resp.Status == http.StatusMisdirectedRequest {
 		return
 	}
 	list, err := g.cfg.Headers.ParseNotices(resp.Status, resp.Header)
-	g.cfg.Notices.Record(g.cfg.Now(), t.Run(), list, err)
+	g.cfg.Notices.Record(g.cfg.Now(), t.Run(), notice.Response{SentAt: sentAt, Notices: list, Err: err})
 }
 
 func (g *Gateway) logFailedAttempt(rs *requestState, t registry.Target, status int, flags call.ResponseFlags, received receivedBody, result sendResult, backoff time.Duration) {
