--- a/internal/fleet/coldstart/coldstart.go
+++ b/internal/fleet/coldstart/coldstart.go
@@ -44,15 +44,24 @@
 	times []time.Time
 }
 
-// Take adds a send at now unless the window already holds share sends. It returns the new window and reports whether the
-// send was added.
-func (w SendWindow) Take(now time.Time, share int) (SendWindow, bool) {
+// IsFull reports whether the window holds share sends at now.
+func (w SendWindow) IsFull(now time.Time, share int) bool { return len(w.at(now)) >= share }
+
+// at returns the sends that the window holds at now.
+func (w SendWindow) at(now time.Time) []time.Time {
 	var kept []time.Time
 	for _, t := range w.times {
 		if now.Sub(t) < window {
 			kept = append(kept, t)
 		}
 	}
+	return kept
+}
+
+// Take adds a send at now unless the window already holds share sends. It returns the new window and reports whether the
+// send was added.
+func (w SendWindow) Take(now time.Time, share int) (SendWindow, bool) {
+	kept := w.at(now)
 	if len(kept) >= share {
 		return SendWindow{times: kept}, false
 	}
--- a/internal/fleet/notice/limit.go
+++ b/internal/fleet/notice/limit.go
@@ -107,10 +107,10 @@
 	return Unlimited
 }
 
-// LimitEndedWithin reports whether the limit of a target has ended less than d before now.
-func (b Board) LimitEndedWithin(now time.Time, t Target, d time.Duration) bool {
+// limitEnded reports whether the limit of a target has ended within RecoveryTime before now.
+func (b Board) limitEnded(now time.Time, t Target) bool {
 	k, ok := b.limits[t]
-	return ok && !k.Limit.IsSet() && now.Sub(k.changedAt) < d
+	return ok && !k.Limit.IsSet() && now.Sub(k.changedAt) < RecoveryTime
 }
 
 // LimitReport returns the latest report on a target; false if it has named no limit.
--- a/internal/fleet/notice/limit_test.go
+++ b/internal/fleet/notice/limit_test.go
@@ -79,8 +79,8 @@
 	b, _ := Board{}.WithLimit(start, LimitReport{Target: target, Limit: Limit{PerSecond: 2}, SentAt: start, HeardAt: start})
 	end := start.Add(time.Second)
 	b, changed := b.WithLimit(end, LimitReport{Target: target, Limit: Unlimited, SentAt: end, HeardAt: end})
-	if !changed || !b.LimitEndedWithin(end.Add(time.Second), target, 2*time.Second) || b.LimitEndedWithin(end.Add(2*time.Second), target, 2*time.Second) {
-		t.Errorf("got changed %t, want an end of the limit that counts as recent for 2 s", changed)
+	if !changed || !b.Recovering(end, target) || b.Recovering(end.Add(RecoveryTime), target) {
+		t.Errorf("got changed %t, want an end of the limit after which the target recovers for %s", changed, RecoveryTime)
 	}
 	later := end.Add(endedRetention + time.Second)
 	b, _ = b.WithLimit(later, LimitReport{Target: Target{ID: "i-2"}, Limit: Limit{PerSecond: 2}, SentAt: later, HeardAt: later})
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -91,10 +91,10 @@
 	return time.Time{}
 }
 
-// Recovering reports whether a target is paused at now or was within RecoveryTime before.
+// Recovering reports whether a target is paused at now, or was paused or limited within RecoveryTime before.
 func (b Board) Recovering(now time.Time, t Target) bool {
 	until, ok := b.pausedUntil[t]
-	return ok && now.Before(until.Add(RecoveryTime))
+	return ok && now.Before(until.Add(RecoveryTime)) || b.limitEnded(now, t)
 }
 
 // News lists the targets that have lately said that they leave, for other nodes.
--- /dev/null
+++ b/internal/fleet/ratelimit/desk.go
@@ -0,0 +1,187 @@
+package ratelimit
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
+)
+
+const (
+	// maxClaims bounds the claims that wait at a desk.
+	maxClaims = 256
+	// maxPromise bounds how far ahead a rejected claim is told to come back.
+	maxPromise = 30 * time.Second
+	// announcedLead is how far ahead the place of an announced claim is kept: one that is due sooner goes to a claim that
+	// waits.
+	announcedLead = 50 * time.Millisecond
+	// announcedGrace is how long after its time an announced claim counts.
+	announcedGrace = 300 * time.Millisecond
+	// idlePacer is how long the pacer of a target without claims is kept.
+	idlePacer = time.Minute
+)
+
+// Desk decides on the claims for one keeper's part of the limits of a pool.
+//
+// It answers a pool whose targets take less than what comes. Each grant goes to the claim that precedes the others, so the
+// claims that would wait too long are known as soon as they come, and are rejected at once with the time at which the limits
+// leave room for them. The times are spaced by the limits, so that callers who come back find that room.
+type Desk struct {
+	// phase is the part of an interval after which the first grant for a target is due: different keepers of a pool have
+	// different ones.
+	phase  float64
+	claims []Claim
+	pacers map[notice.Target]pacer
+	// promised is until when callers that were rejected have been told to come back, by the rank of their claims; polled is the
+	// same of claims whose requests go elsewhere.
+	promised [2 * priorities]time.Time
+	polled   [2 * priorities]time.Time
+}
+
+// NewDesk returns the desk of the keeper with a rank.
+func NewDesk(rank int) *Desk {
+	return &Desk{phase: float64(rank%keeperCount+1) / keeperCount, pacers: map[notice.Target]pacer{}}
+}
+
+// Add adds a claim, on which Settle decides.
+func (d *Desk) Add(c Claim) {
+	d.Withdraw(c.ID)
+	i, _ := slices.BinarySearchFunc(d.claims, c, func(a, b Claim) int {
+		if b.precedes(a) {
+			return 1
+		}
+		return -1
+	})
+	d.claims = slices.Insert(d.claims, i, c)
+}
+
+// Withdraw removes a claim whose request is gone.
+func (d *Desk) Withdraw(id string) {
+	d.claims = slices.DeleteFunc(d.claims, func(c Claim) bool { return c.ID == id })
+}
+
+// Len returns the number of claims that wait or are announced.
+func (d *Desk) Len() int { return len(d.claims) }
+
+// Settle decides on the claims that can be decided at now. rate returns this keeper's grants a second for a target, +Inf if it
+// has no limit. next is when to decide again, the zero time if no claim waits.
+func (d *Desk) Settle(now time.Time, rate func(notice.Target) float64) (settled []Settlement, next time.Time) {
+	d.updatePacers(now, rate)
+	plan := plan{now: now, desk: d, taken: map[notice.Target]map[int]bool{}}
+	kept := d.claims[:0:0]
+	for i, c := range d.claims {
+		if c.isAnnounced() && now.After(c.ReadyAt.Add(announcedGrace)) {
+			continue
+		}
+		if slices.ContainsFunc(c.Targets, func(t notice.Target) bool { return math.IsInf(rate(t), 1) }) {
+			settled = append(settled, Settlement{ID: c.ID, Decision: Lifted{}})
+			continue
+		}
+		t, at := plan.place(c)
+		switch {
+		case i >= maxClaims || at.After(c.StartBy) && at.After(now):
+			settled = append(settled, Settlement{ID: c.ID, Decision: Rejected{RetryAfter: d.promise(now, at, c)}})
+			plan.release(t)
+			continue
+		case c.isAnnounced():
+			kept = append(kept, c)
+		case !at.After(now):
+			settled = append(settled, Settlement{ID: c.ID, Decision: Granted{Target: t}})
+		default:
+			kept = append(kept, c)
+			if next.IsZero() || at.Before(next) {
+				next = at
+			}
+		}
+	}
+	d.claims = kept
+	for _, s := range settled {
+		if g, ok := s.Decision.(Granted); ok {
+			d.pacers[g.Target] = d.pacers[g.Target].withGrant(now)
+		}
+	}
+	return settled, next
+}
+
+// updatePacers brings the pacers of the claimed targets to their current rates.
+func (d *Desk) updatePacers(now time.Time, rate func(notice.Target) float64) {
+	for _, c := range d.claims {
+		for _, t := range c.Targets {
+			r := rate(t)
+			if math.IsInf(r, 1) {
+				delete(d.pacers, t)
+				continue
+			}
+			if p, ok := d.pacers[t]; ok {
+				d.pacers[t] = p.withRate(r)
+			} else {
+				d.pacers[t] = newPacer(now, r, d.phase)
+			}
+		}
+	}
+	maps.DeleteFunc(d.pacers, func(_ notice.Target, p pacer) bool { return now.Sub(p.next) > idlePacer && now.Sub(p.last) > idlePacer })
+}
+
+// promise returns after what time a claim like c that cannot be granted before at should come back.
+func (d *Desk) promise(now, at time.Time, c Claim) time.Duration {
+	total := 0.0
+	for _, t := range c.Targets {
+		total += d.pacers[t].rate
+	}
+	interval := time.Duration(float64(time.Second) / total)
+	taken, latest := &d.promised, c.ReturnBy
+	if c.ReturnBy.IsZero() {
+		taken, latest = &d.polled, now.Add(maxPromise)
+	}
+	back := at
+	for _, until := range taken[:c.Rank()+1] {
+		if after := until.Add(interval); after.After(back) {
+			back = after
+		}
+	}
+	// A caller that cannot come back then takes no place from others.
+	if !back.After(latest) {
+		taken[c.Rank()] = back
+	}
+	return min(back.Sub(now), maxPromise)
+}
+
+// plan assigns the coming grants to claims in their order.
+type plan struct {
+	now   time.Time
+	desk  *Desk
+	taken map[notice.Target]map[int]bool
+	// last is the slot that was assigned last.
+	last int
+}
+
+// place assigns the earliest grant that a claim can use, and returns its target and time.
+func (p *plan) place(c Claim) (best notice.Target, at time.Time) {
+	earliest := p.now
+	if c.isAnnounced() {
+		earliest = c.ReadyAt
+		if lead := p.now.Add(announcedLead); earliest.Before(lead) {
+			earliest = lead
+		}
+	}
+	for _, t := range c.Targets {
+		x := p.desk.pacers[t]
+		k := x.firstSlot(p.now, earliest)
+		for p.taken[t][k] {
+			k++
+		}
+		if slot := x.slot(p.now, k); at.IsZero() || slot.Before(at) {
+			best, at, p.last = t, slot, k
+		}
+	}
+	if p.taken[best] == nil {
+		p.taken[best] = map[int]bool{}
+	}
+	p.taken[best][p.last] = true
+	return best, at
+}
+
+// release gives back the grant that was assigned last.
+func (p *plan) release(t notice.Target) { delete(p.taken[t], p.last) }
--- /dev/null
+++ b/internal/fleet/ratelimit/pacer.go
@@ -0,0 +1,80 @@
+package ratelimit
+
+import (
+	"math"
+	"time"
+)
+
+// savedTime is the time whose grants a pacer may save up, so that short gaps between claims at a high rate cost nothing.
+const savedTime = 100 * time.Millisecond
+
+// pacer spaces the grants of one keeper for one target: a token bucket in the form of the theoretical arrival time of the
+// next grant, which saves at least one grant.
+type pacer struct {
+	rate float64
+	// last is the last grant, or the start; next is when the following one is due at the rate.
+	last time.Time
+	next time.Time
+}
+
+// newPacer returns a pacer whose first grant is due after a part of its interval.
+func newPacer(now time.Time, rate, part float64) pacer {
+	p := pacer{rate: rate, last: now}
+	p.next = now.Add(time.Duration(part * float64(p.interval()))).Add(p.saved())
+	return p
+}
+
+func (p pacer) interval() time.Duration {
+	return time.Duration(float64(time.Second) / p.rate)
+}
+
+// saved is how long before it is due a grant may be taken.
+func (p pacer) saved() time.Duration {
+	return p.interval() * time.Duration(max(0, math.Floor(p.rate*savedTime.Seconds())-1))
+}
+
+// withRate returns the pacer at another rate. Grants that were taken early still count, but at a lower rate only the last one:
+// the others were due at the rate before.
+func (p pacer) withRate(rate float64) pacer {
+	if rate == p.rate {
+		return p
+	}
+	taken := p.next.Sub(p.last).Seconds() * p.rate
+	if rate < p.rate {
+		taken = min(taken, 1)
+	}
+	p.rate = rate
+	p.next = p.last.Add(time.Duration(taken * float64(p.interval())))
+	return p
+}
+
+// slot returns when the grant after k others may be taken, now at the earliest.
+func (p pacer) slot(now time.Time, k int) time.Time {
+	next := p.next
+	if next.Before(now) {
+		next = now
+	}
+	if at := next.Add(time.Duration(k)*p.interval() - p.saved()); at.After(now) {
+		return at
+	}
+	return now
+}
+
+// firstSlot returns the least k whose slot is not before a time.
+func (p pacer) firstSlot(now, earliest time.Time) int {
+	wait := earliest.Sub(p.slot(now, 0))
+	if wait <= 0 {
+		return 0
+	}
+	return int((wait + p.interval() - 1) / p.interval())
+}
+
+// withGrant returns the pacer after a grant at now.
+func (p pacer) withGrant(now time.Time) pacer {
+	if p.next.Before(now) {
+		p.next = now
+	}
+	p.next = p.next.Add(p.interval())
+	p.last = now
+	return p
+}
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -21,6 +21,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/dispatch"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/gateway"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/permit"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/snapshot"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/transport"
 )
@@ -74,6 +75,8 @@
 	view            *fleetView
 	meter           *metrics.Meter
 	notices         *notice.Keeper
+	permits         *permit.Client
+	keeper          *permit.Keeper
 	dispatcher      *dispatch.Dispatcher
 	dispatchClient  *dispatch.Client
 	gateway         *gateway.Gateway
@@ -115,17 +118,26 @@
 	s := n.cfg.Settings
 	n.view.crashes = newCrashReporter(n)
 	n.notices = notice.NewKeeper(notice.KeeperConfig{OnNotice: n.onNotice, OnInvalid: n.onInvalidNotice})
+	n.permits = permit.NewClient(permit.ClientConfig{Self: s.Name, Registry: n.view.registry.Load, Notices: n.notices, Log: n.cfg.Log, Now: n.cfg.Now, Meter: n.meter})
+	n.keeper = permit.NewKeeper(permit.KeeperConfig{
+		Self: s.Name, StartedAt: n.cfg.Now(), Registry: n.view.registry.Load, NodesChangedAt: n.view.nodesChangedAt, Notices: n.notices, Log: n.cfg.Log, Now: n.cfg.Now,
+		IsLost: n.permits.IsLost, Check: n.permits.Check,
+	})
+	n.permits.SetLocal(n.keeper)
 	n.dispatcher = dispatch.New(dispatch.Config{
-		Notices: n.notices,
+		Self: s.Name, Notices: n.notices, Permits: n.permits,
 		Targets: n.cfg.StageClient, Table: n.view.table.Load, Ready: n.view.tableLoaded, Registry: n.view.registry.Load, Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
 		AllowRetry:      func(now time.Time, service string) bool { return n.gateway.AllowRetry(now, service) },
 		RecordFirstSend: func(now time.Time, service string) { n.gateway.RecordFirstSend(now, service) },
 	})
-	n.view.onChange = n.dispatcher.Refresh
+	n.view.onChange = func() {
+		n.dispatcher.Refresh()
+		n.keeper.Refresh()
+	}
 	n.dispatchClient = dispatch.NewClient(dispatch.ClientConfig{Self: s.Name, Local: n.dispatcher, Registry: n.view.registry.Load, Notices: n.notices, Log: n.cfg.Log, Now: n.cfg.Now})
 	n.gateway = gateway.New(gateway.Config{
 		Self: s.Name, Datacentre: s.Datacentre, Headers: n.cfg.Headers, Connections: n.cfg.Connections, Dispatch: n.dispatchClient,
-		Table: n.view.table.Load, Registry: n.view.registry.Load, Notices: n.notices, Quarantine: n.view.crashes.keeper, CrashesKnown: n.crashesKnown, RetryBudget: s.RetryBudget, ColdLimit: s.ColdLimit,
+		Table: n.view.table.Load, Registry: n.view.registry.Load, Notices: n.notices, Permits: n.permits, Quarantine: n.view.crashes.keeper, CrashesKnown: n.crashesKnown, RetryBudget: s.RetryBudget, ColdLimit: s.ColdLimit,
 		Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
 	})
 }
@@ -143,6 +155,7 @@
 	}
 	n.peerServer = grpc.NewServer()
 	dispatch.Register(n.peerServer, n.dispatcher)
+	permit.Register(n.peerServer, n.keeper)
 	snapshot.Register(n.peerServer, n.view)
 	go n.serve("nodes", func() error { return n.peerServer.Serve(peers) })
 	callers, err := listen(s.CallerAddress)
@@ -374,6 +387,7 @@
 	_ = n.callerServer.Close()
 	n.peerServer.Stop()
 	n.dispatchClient.Close()
+	n.permits.Close()
 	for _, s := range n.internalServers {
 		_ = s.Close()
 	}
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,10 +55,12 @@
 	cfg   Config
 	meter *metrics.Meter
 	// startedAt is the start time of the process in Unix milliseconds.
-	startedAt     int64
-	table         atomic.Pointer[route.Table]
-	registry      atomic.Pointer[registry.Registry]
-	targetsListed atomic.Bool
+	startedAt int64
+	table     atomic.Pointer[route.Table]
+	registry  atomic.Pointer[registry.Registry]
+	// nodeListChanged is when the list of nodes last changed.
+	nodeListChanged time.Time
+	targetsListed   atomic.Bool
 	// tableLoaded is closed once there is a table.
 	tableLoaded chan struct{}
 	// nodesListed is closed once the nodes' entries have been listed; listOnce guards it.
@@ -343,10 +346,21 @@
 	return since.Add(outageHold)
 }
 
+// nodesChangedAt returns when the list of nodes last changed.
+func (v *fleetView) nodesChangedAt() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.nodeListChanged
+}
+
 func (v *fleetView) updateRegistry(change func(*registry.Registry) *registry.Registry) {
 	v.mu.Lock()
-	r := change(v.registry.Load())
+	before := v.registry.Load()
+	r := change(before)
 	v.registry.Store(r)
+	if !slices.Equal(before.NodeNames(), r.NodeNames()) {
+		v.nodeListChanged = v.cfg.Now()
+	}
 	v.mu.Unlock()
 	v.meter.Gauge("targets", float64(r.TargetCount()))
 	v.meter.Gauge("nodes", float64(len(r.NodeNames())))
--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -92,6 +92,16 @@
 	m.scope.Tagged(map[string]string{"service": service, "notice": notice}).Counter("target_notices").Inc(1)
 }
 
+// CountPermit counts a claim for the limited targets of a service by what became of it.
+func (m *Meter) CountPermit(service, result string) {
+	m.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("permits").Inc(1)
+}
+
+// CountLimitedSend counts a request that is sent to a target of a service with a limit.
+func (m *Meter) CountLimitedSend(service string) {
+	m.scope.Tagged(map[string]string{"service": service}).Counter("limited_sends").Inc(1)
+}
+
 // RecordStageCall counts a batch call to a stage target, its pieces, and the most pieces that it could have held.
 func (m *Meter) RecordStageCall(service, result string, pieces, capacity int, took time.Duration) {
 	m.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("stage_calls").Inc(1)
--- a/internal/serving/balancer/balancer.go
+++ b/internal/serving/balancer/balancer.go
@@ -21,6 +21,10 @@
 	// set from the start of a pause until a little after its end.
 	PausedUntil time.Time
 	Recovering  bool
+	// IsLimited is set if the target takes only so many requests a second from all nodes, so that each send has to be granted.
+	// AskAt is when a grant may be asked for without a wait.
+	IsLimited bool
+	AskAt     time.Time
 }
 
 // Request describes the request that needs a target.
--- a/internal/serving/batch/queue.go
+++ b/internal/serving/batch/queue.go
@@ -31,6 +31,19 @@
 	return n
 }
 
+// mostUrgent returns the priority of the most urgent piece, and the latest start of any.
+func (q *Queue) mostUrgent() (priority int, startBy time.Time) {
+	for i, p := range q.pieces {
+		if i == 0 || p.Priority < priority {
+			priority = p.Priority
+		}
+		if p.StartByDeadline.After(startBy) {
+			startBy = p.StartByDeadline
+		}
+	}
+	return priority, startBy
+}
+
 // Expire removes and returns the pieces that cannot be done in time even if their call started at now.
 func (q *Queue) Expire(now time.Time) []Piece {
 	var expired []Piece
@@ -50,7 +63,7 @@
 //
 // During a long burst, later but more urgent pieces displace others, and it is better to reject those at once than to
 // keep them until their deadline. spare is the share of the targets' call capacity that is left for late pieces.
-func (q *Queue) ExpireStarved(now time.Time, profile route.BatchProfile, free []time.Time, spare float64) []Piece {
+func (q *Queue) ExpireStarved(now time.Time, profile route.BatchProfile, free []Opening, spare float64) []Piece {
 	if len(free) == 0 || profile.MaxSize == 0 || (len(q.pieces) <= profile.MaxSize*len(free) && spare >= scarceShare) {
 		return nil
 	}
@@ -80,20 +93,27 @@
 // minSpareShare is the lower bound of the spare share that estimates use.
 const minSpareShare = 0.02
 
+// Opening is when a target can start a call, and the least time between the starts of two calls, 0 for one that is bounded by
+// their length alone.
+type Opening struct {
+	At       time.Time
+	Interval time.Duration
+}
+
 // timeline estimates when the calls of targets start if each call is filled.
 type timeline struct {
 	profile route.BatchProfile
-	free    []time.Time
+	free    []Opening
 	current int
 	filled  float64
 }
 
-func newTimeline(now time.Time, profile route.BatchProfile, free []time.Time) *timeline {
-	t := &timeline{profile: profile, free: make([]time.Time, len(free))}
+func newTimeline(now time.Time, profile route.BatchProfile, free []Opening) *timeline {
+	t := &timeline{profile: profile, free: make([]Opening, len(free))}
 	for i, f := range free {
 		t.free[i] = f
-		if f.Before(now) {
-			t.free[i] = now
+		if f.At.Before(now) {
+			t.free[i].At = now
 		}
 	}
 	t.selectNext()
@@ -103,14 +123,14 @@
 func (t *timeline) selectNext() {
 	t.current, t.filled = 0, 0
 	for i := range t.free {
-		if t.free[i].Before(t.free[t.current]) {
+		if t.free[i].At.Before(t.free[t.current].At) {
 			t.current = i
 		}
 	}
 }
 
 // start returns when the call with the next piece starts.
-func (t *timeline) start() time.Time { return t.free[t.current] }
+func (t *timeline) start() time.Time { return t.free[t.current].At }
 
 // add adds count pieces to the current call and moves on to the next one when it is full. count may be a fraction if it
 // stands for pieces that are expected to arrive later and go ahead.
@@ -118,7 +138,8 @@
 	t.filled += count
 	for t.filled >= float64(t.profile.MaxSize) {
 		excess := t.filled - float64(t.profile.MaxSize)
-		t.free[t.current] = t.free[t.current].Add(t.profile.CallDuration(t.profile.MaxSize))
+		x := &t.free[t.current]
+		x.At = x.At.Add(max(x.Interval, t.profile.CallDuration(t.profile.MaxSize)))
 		t.selectNext()
 		t.filled = excess
 	}
@@ -190,7 +211,7 @@
 
 // EstimateStart estimates when the last of n more pieces of a priority would start, given when each target is free; false
 // if there are no targets.
-func (q *Queue) EstimateStart(now time.Time, n, priority int, profile route.BatchProfile, free []time.Time) (time.Time, bool) {
+func (q *Queue) EstimateStart(now time.Time, n, priority int, profile route.BatchProfile, free []Opening) (time.Time, bool) {
 	if len(free) == 0 || profile.MaxSize == 0 {
 		return time.Time{}, false
 	}
--- a/internal/serving/batch/queue_test.go
+++ b/internal/serving/batch/queue_test.go
@@ -80,6 +80,14 @@
 	}
 }
 
+func openings(free []time.Time) []Opening {
+	var list []Opening
+	for _, at := range free {
+		list = append(list, Opening{At: at})
+	}
+	return list
+}
+
 func TestEstimateStart(t *testing.T) {
 	profile := route.BatchProfile{MaxSize: 4, CallTime: 200 * time.Millisecond, PieceTime: 10 * time.Millisecond}
 	for _, c := range []struct {
@@ -100,7 +108,7 @@
 			for range c.waiting {
 				q.Add(piece(Group{}))
 			}
-			got, ok := q.EstimateStart(start, c.n, 1, profile, c.free)
+			got, ok := q.EstimateStart(start, c.n, 1, profile, openings(c.free))
 			if !ok || !got.Equal(c.want) {
 				t.Errorf("got start %s (%t), want %s", got.Sub(start), ok, c.want.Sub(start))
 			}
@@ -121,12 +129,12 @@
 		p := piece(Group{Request: string(rune('a' + i)), StartByObjective: at(5000), StartByDeadline: at(900), Priority: i % 2})
 		q.Add(p)
 	}
-	got := names(q.ExpireStarved(start, profile, []time.Time{at(100)}, 1))
+	got := names(q.ExpireStarved(start, profile, []Opening{{At: at(100)}}, 1))
 	// Calls start at 100, 300, 500, 700 and 900 ms; two pieces fit into each.
 	if want := ""; got != want {
 		t.Errorf("got %q expired, want %q", got, want)
 	}
-	got = names(q.ExpireStarved(start, profile, []time.Time{at(400)}, 1))
+	got = names(q.ExpireStarved(start, profile, []Opening{{At: at(400)}}, 1))
 	// Calls start at 400, 600 and 800 ms.
 	if want := "dfhj"; got != want {
 		t.Errorf("got %q expired, want the least urgent, %q", got, want)
--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -18,8 +18,13 @@
 	skipped map[string]bool
 	// onTimeShare is the share of the latest calls' capacity that went to pieces that can still meet their latency objective.
 	onTimeShare float64
+	// lastCall is when the last call was started.
+	lastCall time.Time
 }
 
+// activePeriod is how long after a call further pieces are expected.
+const activePeriod = time.Second
+
 // NewScheduler returns a scheduler without targets.
 func NewScheduler() *Scheduler {
 	return &Scheduler{targets: map[string]*targetState{}, skipped: map[string]bool{}}
@@ -85,6 +90,50 @@
 	}
 }
 
+// SetLimits sets the limits of targets by ID; the others have none.
+func (s *Scheduler) SetLimits(limits map[string]Limit) {
+	for id, st := range s.targets {
+		st.limit = limits[id]
+	}
+}
+
+// TargetsToClaim returns the limited targets for which a grant is to be asked for now: pieces wait that no other target has
+// taken, or others are likely to come while the grant lasts. Each of them counts as asked until RecordGrant or RecordNoGrant.
+func (s *Scheduler) TargetsToClaim(now time.Time) []registry.Target {
+	if s.waiting.Len() == 0 && now.Sub(s.lastCall) >= activePeriod {
+		return nil
+	}
+	var list []registry.Target
+	for _, st := range s.targets {
+		if !st.limit.IsSet() || st.busy || st.isAsked || st.hasGrant(now) || now.Before(st.askAt) || st.unavailable(now) {
+			continue
+		}
+		st.isAsked = true
+		list = append(list, st.target)
+	}
+	slices.SortFunc(list, func(a, b registry.Target) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// RecordGrant records that one call to a target has been granted.
+func (s *Scheduler) RecordGrant(now time.Time, t registry.Target) {
+	if st, ok := s.targets[t.ID]; ok && st.target.Run() == t.Run() {
+		st.isAsked = false
+		st.grantedUntil = now.Add(grantTime)
+	}
+}
+
+// RecordNoGrant records that no call to a target is granted before a time.
+func (s *Scheduler) RecordNoGrant(t registry.Target, askAt time.Time) {
+	if st, ok := s.targets[t.ID]; ok && st.target.Run() == t.Run() {
+		st.isAsked = false
+		st.askAt = askAt
+	}
+}
+
+// MostUrgent returns the priority of the most urgent waiting piece, and the latest start of any; the zero time if none waits.
+func (s *Scheduler) MostUrgent() (priority int, startBy time.Time) { return s.waiting.mostUrgent() }
+
 // TargetsToProbe returns the targets to ask now for their free space.
 //
 // Probes are needed when a dispatcher takes over from a lost node: the results of that node's calls fill the targets
@@ -92,7 +141,7 @@
 func (s *Scheduler) TargetsToProbe(now time.Time) []registry.Target {
 	var list []registry.Target
 	for _, st := range s.targets {
-		if now.Before(st.pausedUntil) || st.probed && st.untrackedBytes(now) == 0 || (!st.probedAt.IsZero() && now.Sub(st.probedAt) < probeInterval) {
+		if now.Before(st.pausedUntil) || st.limit.IsSet() || st.probed && st.untrackedBytes(now) == 0 || (!st.probedAt.IsZero() && now.Sub(st.probedAt) < probeInterval) {
 			continue
 		}
 		st.probedAt = now
@@ -188,7 +237,9 @@
 			Target: st.target, Pieces: pieces, Started: now, Expected: expected, QueueLength: s.waiting.Len(),
 			HeldBytes: st.heldBytes, UntrackedBytes: st.untrackedBytes(now), StartsAtOnce: st.startsAtOnce(now), state: st,
 		}
+		s.lastCall = now
 		st.busy = true
+		st.grantedUntil = time.Time{}
 		st.freeAt = now.Add(expected)
 		st.heldBytes += bytes
 		return c, true
@@ -223,7 +274,7 @@
 		}
 	}
 	for _, st := range s.targets {
-		if st.busy || !st.ready(now) || s.skipped[st.target.ID] || st.unavailable(now) || profile.ResultSpace-st.usedBytes(now) <= 0 {
+		if st.busy || !st.ready(now) || !st.hasGrant(now) || s.skipped[st.target.ID] || st.unavailable(now) || profile.ResultSpace-st.usedBytes(now) <= 0 {
 			continue
 		}
 		slowness := st.slowness(now)
@@ -255,10 +306,10 @@
 }
 
 // nextStarts returns for each target when it can start a call.
-func (s *Scheduler) nextStarts(now time.Time) []time.Time {
-	list := make([]time.Time, 0, len(s.targets))
+func (s *Scheduler) nextStarts(now time.Time) []Opening {
+	list := make([]Opening, 0, len(s.targets))
 	for _, st := range s.targets {
-		list = append(list, st.nextStart(now))
+		list = append(list, Opening{At: st.nextStart(now), Interval: st.limit.Interval})
 	}
 	return list
 }
--- a/internal/serving/batch/target_state.go
+++ b/internal/serving/batch/target_state.go
@@ -27,6 +27,9 @@
 	sharedPeriod = time.Second
 	// networkMargin is the time that a call and its response spend on the network.
 	networkMargin = 5 * time.Millisecond
+	// grantTime is how long a granted call may be started: a call of pieces that arrive a little later, but not one after the
+	// process has been paused.
+	grantTime = 500 * time.Millisecond
 )
 
 // targetState is the scheduler's view of one target.
@@ -37,7 +40,13 @@
 	backoffUntil time.Time
 	// pausedUntil is until when the target wants no calls.
 	pausedUntil time.Time
-	failures    int
+	// limit is the target's limit. isAsked is set while a grant is asked for, askAt is when that may be done again, and a call is
+	// granted until grantedUntil.
+	limit        Limit
+	isAsked      bool
+	askAt        time.Time
+	grantedUntil time.Time
+	failures     int
 	// slowRatio is the ratio of measured to expected call time, as of measuredAt.
 	slowRatio  float64
 	measuredAt time.Time
@@ -59,6 +68,20 @@
 	sharedAt time.Time
 }
 
+// Limit is the limit of a target; the zero value is none.
+type Limit struct {
+	// Interval is the time between two calls at the limit.
+	Interval time.Duration
+}
+
+// IsSet reports whether calls have to be granted.
+func (l Limit) IsSet() bool { return l.Interval > 0 }
+
+// hasGrant reports whether a call may be started as far as the target's limit goes.
+func (s *targetState) hasGrant(now time.Time) bool {
+	return !s.limit.IsSet() || now.Before(s.grantedUntil)
+}
+
 // heldResult is one tracked result at a target.
 type heldResult struct {
 	bytes     int64
@@ -88,6 +111,9 @@
 			at = until
 		}
 	}
+	if !s.hasGrant(now) && s.askAt.After(at) {
+		at = s.askAt
+	}
 	return at
 }
 
@@ -126,7 +152,9 @@
 }
 
 // ready reports whether enough is known of the target's space for a call.
-func (s *targetState) ready(now time.Time) bool { return s.probed || now.Sub(s.added) >= probeTimeout }
+func (s *targetState) ready(now time.Time) bool {
+	return s.probed || s.limit.IsSet() || now.Sub(s.added) >= probeTimeout
+}
 
 // startsAtOnce reports whether a call is expected to start at once, without waiting for a call of another dispatcher.
 func (s *targetState) startsAtOnce(now time.Time) bool { return now.Sub(s.sharedAt) >= sharedPeriod }
@@ -147,6 +175,10 @@
 	if slowA, slowB := s.slowness(now) >= slowThreshold, b.slowness(now) >= slowThreshold; slowA != slowB {
 		return !slowA
 	}
+	// A grant that is not used is lost.
+	if s.limit.IsSet() != b.limit.IsSet() {
+		return s.limit.IsSet()
+	}
 	if s.heldBytes != b.heldBytes {
 		return s.heldBytes < b.heldBytes
 	}
--- a/internal/serving/call/call.go
+++ b/internal/serving/call/call.go
@@ -56,6 +56,12 @@
 	return p.Parts[last].ID, tokens
 }
 
+// outputCost is the number of input tokens that an output token counts for in the size of a request.
+const outputCost = 10
+
+// Size returns the size of the request in tokens, 0 if the caller does not tell.
+func (p Prompt) Size() int { return p.InputTokens + outputCost*p.OutputTokens }
+
 // maxLoggedParts bounds the parts of a prompt that a log line names.
 const maxLoggedParts = 12
 
--- a/internal/serving/schedule/schedule.go
+++ b/internal/serving/schedule/schedule.go
@@ -18,6 +18,15 @@
 	FinalTime time.Duration
 }
 
+// LeadTime returns the least time that all stages take.
+func (s StageGraph) LeadTime() time.Duration {
+	lead := time.Duration(0)
+	for _, remaining := range s.RemainingTimes() {
+		lead = max(lead, remaining-s.FinalTime)
+	}
+	return lead
+}
+
 // RemainingTimes returns for each stage the least time from the start of its last call to the response to the request.
 func (s StageGraph) RemainingTimes() []time.Duration {
 	times := make([]time.Duration, len(s.Stages))
--- a/internal/wire/dispatch/client.go
+++ b/internal/wire/dispatch/client.go
@@ -9,8 +9,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
@@ -30,23 +28,17 @@
 	heartbeatTimeout = 3 * heartbeatInterval
 	// maxNodes bounds the dispatchers that are tried before the local node does the work; maxUnresponsive bounds how
 	// many of them may run into a timeout.
-	maxNodes        = 6
-	maxUnresponsive = 2
-	// closeDelay is how long calls still running on the connection of a lost node may take to end.
-	closeDelay = 2 * time.Second
-
-	minConnectTimeout = 500 * time.Millisecond
-	minReconnectDelay = 100 * time.Millisecond
-	maxReconnectDelay = time.Second
+	maxNodes          = 6
+	maxUnresponsive   = 2
 	remoteFreeTimeout = time.Second
 )
 
 // Client finds the dispatcher of a service and passes groups to it.
 type Client struct {
 	cfg      ClientConfig
+	nodes    *connection.Nodes
 	mu       sync.Mutex
-	conns    map[string]*grpc.ClientConn
-	backoffs map[string]nodeBackoff
+	backoffs map[string]connection.NodeBackoff
 }
 
 // ClientConfig holds the dependencies of a Client.
@@ -62,7 +54,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, conns: map[string]*grpc.ClientConn{}, backoffs: map[string]nodeBackoff{}}
+	return &Client{cfg: cfg, nodes: connection.NewNodes(), backoffs: map[string]connection.NodeBackoff{}}
 }
 
 // GroupResults holds the results of a group and the node whose dispatcher tracks them.
@@ -106,7 +98,7 @@
 	var names, inShard []string
 	for _, name := range r.NodeNames() {
 		node, _ := r.Node(name)
-		if c.backoffs[name].inBackoff(now, node) {
+		if c.backoffs[name].Active(now, node.StartedAt) {
 			continue
 		}
 		names = append(names, name)
@@ -172,40 +164,30 @@
 func (c *Client) recordFailure(sentAt time.Time, node registry.Node, g batch.Group, err error) {
 	now := c.cfg.Now()
 	c.mu.Lock()
-	x := c.backoffs[node.Name].afterFailure(sentAt, now, node, err)
+	x := c.backoffs[node.Name].AfterFailure(sentAt, now, node.StartedAt, isImmediateRefusal(err))
 	c.backoffs[node.Name] = x
-	var conn *grpc.ClientConn
-	if !errors.Is(err, errDeclined) {
-		conn = c.conns[node.Address]
-		delete(c.conns, node.Address)
-	}
 	c.mu.Unlock()
-	if conn != nil {
-		time.AfterFunc(closeDelay, func() { _ = conn.Close() })
+	if !errors.Is(err, errDeclined) {
+		c.nodes.Discard(node.Address)
 	}
 	c.cfg.Log.WithError(err).WithFields(logrus.Fields{
-		"request": g.Request, "service": g.Service, "peer": node.Name, "shun_ms": x.until.Sub(now).Milliseconds(),
+		"request": g.Request, "service": g.Service, "peer": node.Name, "shun_ms": x.Until().Sub(now).Milliseconds(),
 	}).Warn("desk: node did not run the group; trying another node")
 }
 
 func (c *Client) deskClient(address string) (deskpb.DeskClient, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	conn, ok := c.conns[address]
-	if !ok {
-		fresh, err := connection.DialNode(address, grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: minReconnectDelay, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnectDelay},
-			MinConnectTimeout: minConnectTimeout,
-		}))
-		if err != nil {
-			return nil, err
-		}
-		conn = fresh
-		c.conns[address] = conn
+	conn, err := c.nodes.Conn(address)
+	if err != nil {
+		return nil, err
 	}
 	return deskpb.NewDeskClient(conn), nil
 }
 
+// isImmediateRefusal reports whether the node's process is gone or declines; other errors mean an unresponsive machine.
+func isImmediateRefusal(err error) bool {
+	return errors.Is(err, errDeclined) || connection.IsUnavailable(err)
+}
+
 // The ways in which another node's dispatcher fails to run a group.
 var (
 	errUnresponsive = merry.Sentinel("node fell silent")
@@ -279,11 +261,4 @@
 }
 
 // Close closes the connections to other nodes.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, conn := range c.conns {
-		_ = conn.Close()
-		delete(c.conns, address)
-	}
-}
+func (c *Client) Close() { c.nodes.Close() }
--- a/internal/wire/dispatch/client_test.go
+++ b/internal/wire/dispatch/client_test.go
@@ -37,49 +37,21 @@
 	}
 }
 
-func TestRestartEndsNodeBackoff(t *testing.T) {
-	now := time.Now()
-	b := nodeBackoff{startedAt: 1, until: now.Add(time.Minute)}
-	if !b.inBackoff(now, registry.Node{Name: "n", StartedAt: 1}) {
-		t.Error("node that did not respond is not in back-off")
-	}
-	if b.inBackoff(now, registry.Node{Name: "n", StartedAt: 2}) {
-		t.Error("restarted node is in back-off")
-	}
-}
-
-// TestConcurrentGroupFailuresCountOnce guards against counting one lost dispatcher several times: its process ends
-// with ten groups under way, or its machine stops responding.
-func TestConcurrentGroupFailuresCountOnce(t *testing.T) {
-	sentAt := time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
-	node := registry.Node{Name: "n", StartedAt: 1}
-	closed := status.Error(codes.Unavailable, "error reading from server: EOF")
+// TestRefusalsOfDispatchers tells nodes that decline or whose process is gone, which are asked again soon, from unresponsive
+// machines.
+func TestRefusalsOfDispatchers(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		err  error
-		want time.Duration
+		want bool
 	}{
-		{"process is gone", closed, refusedBackoff},
-		{"dispatcher declines", errDeclined, refusedBackoff},
-		{"machine does not respond", errUnresponsive, unresponsiveBackoff},
+		{"process is gone", status.Error(codes.Unavailable, "error reading from server: EOF"), true},
+		{"dispatcher declines", errDeclined, true},
+		{"machine does not respond", errUnresponsive, false},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			var b nodeBackoff
-			now := sentAt.Add(300 * time.Millisecond)
-			for i := range 10 {
-				b = b.afterFailure(sentAt.Add(time.Duration(i)*time.Millisecond), now, node, c.err)
-			}
-			if got := b.until.Sub(now); got != c.want {
-				t.Errorf("got a back-off of %s after ten groups, want %s", got, c.want)
-			}
-		})
-	}
-	var b nodeBackoff
-	for range 3 {
-		b = b.afterFailure(b.until.Add(time.Second), b.until.Add(2*time.Second), node, errUnresponsive)
-	}
-	if got, want := b.until.Sub(b.failedAt), 4*unresponsiveBackoff; got != want {
-		t.Errorf("got a back-off of %s after three consecutive failures, want %s", got, want)
+		if got := isImmediateRefusal(c.err); got != c.want {
+			t.Errorf("%s: got a refusal %t, want %t", c.name, got, c.want)
+		}
 	}
 }
 
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -77,9 +77,12 @@
 	Ready    <-chan struct{}
 	Registry func() *registry.Registry
 	Notices  *notice.Keeper
-	Log      logrus.FieldLogger
-	Now      func() time.Time
-	Meter    Meter
+	// Self is the name of this node.
+	Self    string
+	Permits Permits
+	Log     logrus.FieldLogger
+	Now     func() time.Time
+	Meter   Meter
 	// AllowRetry asks the retry budget of the service for one more send of a piece.
 	AllowRetry func(now time.Time, service string) bool
 	// RecordFirstSend counts the first send of a piece.
@@ -94,6 +97,8 @@
 	groups       map[uint64]*group
 	lastGroupID  uint64
 	pendingFrees map[string][]string
+	// limitedFrees holds the results to be freed at limited targets, by address.
+	limitedFrees map[string][]string
 	freeTimer    *time.Timer
 	// draining is set when the node stops: other dispatchers take new groups.
 	draining atomic.Bool
@@ -101,7 +106,7 @@
 
 // New returns a dispatcher without pieces.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg, schedulers: map[string]*shardScheduler{}, groups: map[uint64]*group{}, pendingFrees: map[string][]string{}}
+	return &Dispatcher{cfg: cfg, schedulers: map[string]*shardScheduler{}, groups: map[uint64]*group{}, pendingFrees: map[string][]string{}, limitedFrees: map[string][]string{}}
 }
 
 // Drain makes the dispatcher decline new groups; those that it already has still run.
@@ -256,11 +261,12 @@
 	return s
 }
 
-// updateTargets tells a scheduler the usable targets of its shard and which of them are paused; the lock is held.
+// updateTargets tells a scheduler the usable targets of its shard and which of them are paused or limited; the lock is held.
 func (d *Dispatcher) updateTargets(now time.Time, s *shardScheduler) {
 	board := d.cfg.Notices.Board()
 	var list []registry.Target
 	pauses := map[string]time.Time{}
+	limits := map[string]batch.Limit{}
 	for _, t := range d.cfg.Registry().Usable(s.service) {
 		if (s.shard != "" && t.Datacentre != s.shard) || board.Leaving(t.Run()) {
 			continue
@@ -269,9 +275,13 @@
 		if until := board.PausedUntil(now, t.Run()); !until.IsZero() {
 			pauses[t.ID] = until
 		}
+		if limit := limitOf(now, board, t.Run()); limit.IsSet() {
+			limits[t.ID] = limit
+		}
 	}
 	s.SetTargets(now, list)
 	s.SetPauses(pauses)
+	s.SetLimits(limits)
 }
 
 // recorder returns the function that records what a target says of itself in the response to a call that starts now.
@@ -303,6 +313,7 @@
 func (d *Dispatcher) startCalls(now time.Time, s *shardScheduler, profile route.BatchProfile) {
 	d.expireLate(now, s, profile)
 	s.StartRound()
+	defer d.claimTargets(now, s)
 	for {
 		c, ok := s.NextCall(now, profile)
 		if !ok {
--- a/internal/wire/dispatch/free.go
+++ b/internal/wire/dispatch/free.go
@@ -38,6 +38,10 @@
 			d.freeLater(wait, address, handles)
 			continue
 		}
+		if t, ok := d.cfg.Registry().AtAddress(address); ok && d.cfg.Notices.Board().Limit(d.cfg.Now(), t.Run()).IsSet() {
+			d.freeWithGrant(t, handles)
+			continue
+		}
 		go d.freeOnTarget(address, handles)
 	}
 }
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -9,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
-	"github.com/lacewingdrift/lacewingdrift/internal/fleet/coldstart"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/balancer"
@@ -67,15 +66,19 @@
 		if rs.inputsFreed {
 			return fallback.withInputLost()
 		}
-		c, wait := g.pickTarget(now, rs, tried)
+		p := g.pickTarget(ctx, now, rs, tried)
+		now = g.cfg.Now()
 		switch {
-		case c == nil && wait.IsZero():
-			return g.withReturnTime(now, rs, fallback)
-		case c == nil:
-			sleepUntil(ctx, now, wait)
+		case p.target != nil:
+		case !p.wait.IsZero():
+			sleepUntil(ctx, now, p.wait)
 			continue
+		case p.retryAfter > 0 && fallback.kind == refused:
+			return limitRefusal(p.retryAfter)
+		default:
+			return g.withReturnTime(now, rs, fallback)
 		}
-		t := c.Target
+		t := p.target.Target
 		if rs.sends > 0 && !g.AllowRetry(now, rs.service.Name) {
 			g.loads.recordPromptRead(now, t.ID, rs.Prompt.InputTokens)
 			g.loads.finish(now, t.ID, false)
@@ -83,7 +86,7 @@
 			return fallback
 		}
 		tried[t.ID] = true
-		g.logPicked(now, rs, *c, len(tried), rw.resumePoint(rs))
+		g.logPicked(now, rs, *p.target, len(tried), rw.resumePoint(rs))
 		result := g.send(ctx, r, rs, rw, t)
 		g.cfg.Meter.RecordSend(rs.service.Name, result.label(), g.cfg.Now().Sub(now))
 		if result.countsAsAttempt || result.final != nil {
@@ -167,33 +170,66 @@
 	return o
 }
 
-// pickTarget chooses a target and counts the request there, or returns when to try again, or neither.
-func (g *Gateway) pickTarget(now time.Time, rs *requestState, tried map[string]bool) (c *balancer.Candidate, wait time.Time) {
+// pick is what becomes of a request that needs a target: it goes to one, waits until a time, or is refused because limited targets
+// have no room before retryAfter. A pick without any of these finds no target.
+type pick struct {
+	target     *balancer.Candidate
+	wait       time.Time
+	retryAfter time.Duration
+}
+
+// pickTarget chooses a target and counts the request there.
+func (g *Gateway) pickTarget(ctx context.Context, now time.Time, rs *requestState, tried map[string]bool) pick {
 	reg := g.cfg.Registry()
-	candidates := g.loads.candidates(now, reg.Usable(rs.service.Name), tried, g.cfg.Notices.Board())
-	var order []balancer.Candidate
+	candidates := g.withGrantTimes(now, rs, g.loads.candidates(now, reg.Usable(rs.service.Name), tried, g.cfg.Notices.Board()))
 	switch p := balancer.Place(now, g.balancerRequest(now, rs), candidates, len(reg.NodeNames())).(type) {
 	case balancer.Send:
-		order = p.Targets
+		return g.pickFrom(ctx, now, rs, p.Targets)
+	case balancer.Ask:
+		c, retryAfter := g.await(ctx, now, rs, p.Targets)
+		switch now := g.cfg.Now(); {
+		case c == nil && retryAfter == 0:
+			return pick{wait: now}
+		case c == nil:
+			return pick{retryAfter: retryAfter}
+		case g.loads.start(now, c.Target, rs.Prompt.InputTokens, g.coldShare(rs, c.Target)):
+			return pick{target: c}
+		default:
+			return pick{wait: now.Add(coldRecheck)}
+		}
 	case balancer.Wait:
-		return nil, p.Until
-	case balancer.Reject:
-		return nil, time.Time{}
+		return pick{wait: p.Until}
+	default:
+		return pick{}
 	}
+}
+
+// coldRecheck is how long a request waits that has found a limited target cold.
+const coldRecheck = 50 * time.Millisecond
+
+// pickFrom chooses the first of some targets that takes the request now.
+func (g *Gateway) pickFrom(ctx context.Context, now time.Time, rs *requestState, order []balancer.Candidate) pick {
+	asked := 0
 	for _, c := range order {
-		share := 0
-		if c.Target.Cold(now) {
-			limit := rs.service.ColdRateLimit*g.cfg.ColdLimit.Factor + g.cfg.ColdLimit.Extra
-			share = coldstart.NodeShare(c.Target.ID, g.cfg.Self, reg.NodeNames(), limit)
-			if rs.service.ColdRateLimit == 0 {
-				share = int(limit)
+		share := g.coldShare(rs, c.Target)
+		if c.IsLimited {
+			if asked == maxAsked || g.loads.isColdFull(now, c.Target, share) {
+				continue
+			}
+			asked++
+			if !g.acquire(ctx, now, rs, c.Target) {
+				continue
 			}
+			now = g.cfg.Now()
 		}
 		if g.loads.start(now, c.Target, rs.Prompt.InputTokens, share) {
-			return &c, time.Time{}
+			return pick{target: &c}
 		}
 	}
-	return nil, time.Time{}
+	if asked > 0 {
+		return pick{wait: g.cfg.Now()}
+	}
+	return pick{}
 }
 
 // logPicked logs the chosen target and the state that led to the choice.
@@ -207,6 +243,8 @@
 	}
 	if limit := g.cfg.Notices.Board().Limit(now, c.Target.Run()); limit.IsSet() {
 		fields["limit"] = limit.PerSecond
+		fields["keeper"] = rs.keeper
+		g.cfg.Meter.CountLimitedSend(rs.service.Name)
 	}
 	g.cfg.Log.WithFields(fields).Info("gateway: target chosen")
 }
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,12 +17,14 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/quarantine"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/ratelimit"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/budget"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/call"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/dispatch"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/permit"
 )
 
 const (
@@ -55,6 +58,8 @@
 	CountResponse(service, framing string, isComplete bool)
 	// CountHeldEvent counts an event of a target of a service that was held back from its caller, by the reason.
 	CountHeldEvent(service, reason string)
+	// CountLimitedSend counts a request that is sent to a target of a service with a limit.
+	CountLimitedSend(service string)
 	// CountCrash counts a crash of a target of a service under a request, by how far its response had come.
 	CountCrash(service, progress string)
 }
@@ -70,6 +75,7 @@
 	Table       func() *route.Table
 	Registry    func() *registry.Registry
 	Notices     *notice.Keeper
+	Permits     *permit.Client
 	Quarantine  *quarantine.Keeper
 	// CrashesKnown is closed once the reports of crashes have been read, or have not come in time.
 	CrashesKnown <-chan struct{}
@@ -88,16 +94,18 @@
 	mu           sync.Mutex
 	retryWindows map[string]*budget.RetryWindow
 	// longestTimeouts is the longest timeout that callers have sent, by route; firstByteTimes is the average time to
-	// the first byte, by service.
+	// the first byte, by service; meanSizes is the average size of a route's requests in tokens.
 	longestTimeouts map[string]time.Duration
 	firstByteTimes  map[string]time.Duration
+	meanSizes       map[string]float64
+	lastClaim       uint64
 	draining        bool
 	drainDeadline   time.Time
 }
 
 // New returns a gateway.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg, loads: newLoads(), retryWindows: map[string]*budget.RetryWindow{}, longestTimeouts: map[string]time.Duration{}, firstByteTimes: map[string]time.Duration{}}
+	return &Gateway{cfg: cfg, loads: newLoads(), retryWindows: map[string]*budget.RetryWindow{}, longestTimeouts: map[string]time.Duration{}, firstByteTimes: map[string]time.Duration{}, meanSizes: map[string]float64{}}
 }
 
 // Drain makes the gateway refuse streams that could not end before a planned stop does.
@@ -159,7 +167,13 @@
 	sentTo map[string]bool
 	// mayHaveRun is set if a target may have run the request.
 	mayHaveRun bool
-	log        logrus.Fields
+	// claimID identifies the request at keepers of limits, announced is the pool in which it has been announced, keeper the node
+	// that last decided on a claim of it.
+	claimID   string
+	announced ratelimit.Pool
+	keeper    string
+	worth     float64
+	log       logrus.Fields
 }
 
 // heldResults are results that one node's dispatcher tracks.
@@ -180,6 +194,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := g.cfg.Now()
 	rs := &requestState{Call: g.cfg.Headers.ParseRequest(now, r), table: g.cfg.Table(), sentTo: map[string]bool{}, log: logrus.Fields{}}
+	rs.claimID = g.newClaimID()
 	out := g.admit(w, r, rs)
 	if out == nil {
 		out = g.serve(w, r, rs)
@@ -191,6 +206,21 @@
 	}
 }
 
+// newClaimID returns an ID that no other request of the fleet has.
+func (g *Gateway) newClaimID() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastClaim++
+	return g.cfg.Self + "/" + strconv.FormatUint(g.lastClaim, 36)
+}
+
+// recordReservation records a decision on a claim of the request.
+func (rs *requestState) recordReservation(r permit.Reservation) {
+	if r.Keeper != "" {
+		rs.keeper = r.Keeper
+	}
+}
+
 type connKey struct{}
 
 // ConnContext makes a caller's connection known to the gateway; it is for http.Server.ConnContext.
--- a/internal/wire/gateway/load.go
+++ b/internal/wire/gateway/load.go
@@ -45,7 +45,8 @@
 	return x
 }
 
-// candidates combines targets with their known load; those that have been tried or said that they leave are left out.
+// candidates combines targets with their known load; those that have been tried or said that they leave are left out. The
+// times to ask for grants are not set.
 func (l targetLoads) candidates(now time.Time, targets []registry.Target, tried map[string]bool, board notice.Board) []balancer.Candidate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -54,7 +55,9 @@
 		if tried[t.ID] || board.Leaving(t.Run()) {
 			continue
 		}
-		c := balancer.Candidate{Target: t, PausedUntil: board.PausedUntil(now, t.Run()), Recovering: board.Recovering(now, t.Run())}
+		c := balancer.Candidate{
+			Target: t, PausedUntil: board.PausedUntil(now, t.Run()), Recovering: board.Recovering(now, t.Run()), IsLimited: board.Limit(now, t.Run()).IsSet(),
+		}
 		if x, ok := l.byID[t.ID]; ok {
 			c.Running, c.PendingTokens, c.InBackoff = x.running, x.pendingTokens, now.Before(x.backoffUntil)
 		}
@@ -63,6 +66,13 @@
 	return list
 }
 
+// isColdFull reports whether a target is cold and has received this node's share of its cold limit.
+func (l targetLoads) isColdFull(now time.Time, t registry.Target, share int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return t.Cold(now) && l.get(now, t.ID).cold.IsFull(now, share)
+}
+
 // start counts a request with prompt tokens at a target. It returns false if the target is cold and has already
 // received this node's share of its cold limit.
 func (l targetLoads) start(now time.Time, t registry.Target, tokens, share int) bool {
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -49,6 +49,7 @@
 	// The result of the last send.
 	causeNoTarget    cause = "notarget"
 	causeBusy        cause = "busy"
+	causeLimited     cause = "limited"
 	causeUnreachable cause = "unreached"
 	causeNotRun      cause = "notrun"
 	causeNoResponse  cause = "silent"
@@ -152,6 +153,9 @@
 	rs.log["status"] = o.status
 	rs.log["ms"] = took.Milliseconds()
 	rs.log["sends"] = rs.sends
+	if rs.keeper != "" {
+		rs.log["keeper"] = rs.keeper
+	}
 	if len(rs.Prompt.Parts) > 0 {
 		rs.log["parts"] = rs.Prompt.PartIDs()
 	}
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -81,6 +81,9 @@
 		s, _ := rs.table.Service(service)
 		return s.Batch
 	}, FinalTime: g.firstByteTime(rs)}
+	if out := g.announce(ctx, rs, graph); out != nil {
+		return out
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sr := newStageRun(graph, g.likelyDatacentre(started, rs))
