Announce requests before their stages run, and tell all nodes of new limits

And a node that had not been told of a limit sent until it was. Change: an announced claim takes the last grant that is due by its time. Changes of limits go with the messages between nodes and dispatchers, as news of leaving targets do. TestFleetUsesTargetAgainAfterItsLimit passes.

--- a/internal/fleet/ratelimit/desk.go
+++ b/internal/fleet/ratelimit/desk.go
@@ -168,11 +168,12 @@
 	}
 	for _, t := range c.Targets {
 		x := p.desk.pacers[t]
-		k := x.firstSlot(p.now, earliest)
-		for p.taken[t][k] {
-			k++
+		k := p.freeSlot(t, x.lastSlot(p.now, earliest))
+		slot := x.slot(p.now, k)
+		if slot.Before(earliest) {
+			slot = earliest
 		}
-		if slot := x.slot(p.now, k); at.IsZero() || slot.Before(at) {
+		if at.IsZero() || slot.Before(at) {
 			best, at, p.last = t, slot, k
 		}
 	}
@@ -183,5 +184,18 @@
 	return best, at
 }
 
+// freeSlot returns the last grant up to k that is not assigned, or the first one after it.
+func (p *plan) freeSlot(t notice.Target, k int) int {
+	for earlier := k; earlier >= 0; earlier-- {
+		if !p.taken[t][earlier] {
+			return earlier
+		}
+	}
+	for p.taken[t][k] {
+		k++
+	}
+	return k
+}
+
 // release gives back the grant that was assigned last.
 func (p *plan) release(t notice.Target) { delete(p.taken[t], p.last) }
--- a/internal/fleet/ratelimit/pacer.go
+++ b/internal/fleet/ratelimit/pacer.go
@@ -60,13 +60,13 @@
 	return now
 }
 
-// firstSlot returns the least k whose slot is not before a time.
-func (p pacer) firstSlot(now, earliest time.Time) int {
-	wait := earliest.Sub(p.slot(now, 0))
+// lastSlot returns the greatest k whose grant may be taken at a time, 0 if there is none.
+func (p pacer) lastSlot(now, at time.Time) int {
+	wait := at.Sub(p.slot(now, 0))
 	if wait <= 0 {
 		return 0
 	}
-	return int((wait + p.interval() - 1) / p.interval())
+	return int(wait / p.interval())
 }
 
 // withGrant returns the pacer after a grant at now.
--- a/internal/wire/dispatch/client.go
+++ b/internal/wire/dispatch/client.go
@@ -16,6 +16,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/dispatch/deskpb"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/permit"
 )
 
 const (
@@ -205,7 +206,8 @@
 	timeout := time.AfterFunc(ackTimeout, func() { cancel(errUnresponsive) })
 	defer timeout.Stop()
 	m := toMessage(now, g)
-	m.Leaving = toRuns(c.cfg.Notices.Board().News(now))
+	board := c.cfg.Notices.Board()
+	m.Leaving, m.Limits = toRuns(board.News(now)), permit.ToLimits(now, board.LimitNews(now))
 	stream, err := client.Produce(ctx, m)
 	if err != nil {
 		return nil, err
@@ -219,7 +221,8 @@
 			return nil, err
 		}
 		timeout.Reset(heartbeatTimeout)
-		c.cfg.Notices.Learn(c.cfg.Now(), fromRuns(p.Leaving), nil)
+		heardAt := c.cfg.Now()
+		c.cfg.Notices.Learn(heardAt, fromRuns(p.Leaving), permit.FromLimits(heardAt, p.Limits))
 		switch progressState(p.State) {
 		case stateQueued, stateHeartbeat:
 		case stateInputsFetched:
--- a/internal/wire/dispatch/server.go
+++ b/internal/wire/dispatch/server.go
@@ -10,6 +10,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/dispatch/deskpb"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/permit"
 )
 
 // progressState is the meaning of a message of a Produce call.
@@ -41,12 +42,14 @@
 	}
 	now := s.dispatcher.cfg.Now()
 	notices := s.dispatcher.cfg.Notices
-	notices.Learn(now, fromRuns(m.Leaving), nil)
+	notices.Learn(now, fromRuns(m.Leaving), permit.FromLimits(now, m.Limits))
 	g := fromMessage(now, m)
 	// Send errors are ignored: a disconnected caller ends the stream's context.
 	results, err := s.dispatcher.Produce(out.Context(), g, Callbacks{
 		OnQueued: func(wait time.Duration) {
-			_ = out.Send(&deskpb.Progress{State: string(stateQueued), WaitUs: wait.Microseconds(), Leaving: toRuns(notices.Board().News(now))})
+			p := s.progressWithNews(stateQueued)
+			p.WaitUs = wait.Microseconds()
+			_ = out.Send(p)
 		},
 		OnInputsFetched: func() { _ = out.Send(&deskpb.Progress{State: string(stateInputsFetched)}) },
 		OnHeartbeat:     func() { _ = out.Send(&deskpb.Progress{State: string(stateHeartbeat)}) },
@@ -58,13 +61,19 @@
 	if err != nil {
 		return err
 	}
-	p := &deskpb.Progress{State: string(stateDone), Leaving: toRuns(notices.Board().News(s.dispatcher.cfg.Now()))}
+	p := s.progressWithNews(stateDone)
 	for _, x := range results {
 		p.Results = append(p.Results, &deskpb.Result{Handle: x.Handle, Reason: string(x.Reason), Datacentre: x.Datacentre})
 	}
 	return out.Send(p)
 }
 
+// progressWithNews returns a message with what this node has heard of targets lately.
+func (s server) progressWithNews(state progressState) *deskpb.Progress {
+	now, board := s.dispatcher.cfg.Now(), s.dispatcher.cfg.Notices.Board()
+	return &deskpb.Progress{State: string(state), Leaving: toRuns(board.News(now)), Limits: permit.ToLimits(now, board.LimitNews(now))}
+}
+
 // Free queues results to be freed.
 func (s server) Free(_ context.Context, m *deskpb.Handles) (*deskpb.Freed, error) {
 	s.dispatcher.Free(m.Handles)
--- a/internal/wire/gateway/limit.go
+++ b/internal/wire/gateway/limit.go
@@ -163,6 +163,7 @@
 		c.ReadyAt, c.StartBy = now.Add(graph.LeadTime()), g.startBy(now, rs)
 		c.ReturnBy = now.Add(time.Duration(returnShare * float64(rs.deadline.Sub(now))))
 		r := g.cfg.Permits.Reserve(ctx, poolOf(group[0].Target), c)
+		rs.recordReservation(r)
 		d, isRejected := r.Decision.(ratelimit.Rejected)
 		if !isRejected {
 			rs.announced = poolOf(group[0].Target)
--- a/internal/wire/permit/client.go
+++ b/internal/wire/permit/client.go
@@ -217,7 +217,7 @@
 	}
 	c.recordAnswer(keeper)
 	now = c.cfg.Now()
-	c.cfg.Notices.Learn(now, nil, fromLimits(now, m.Limits))
+	c.cfg.Notices.Learn(now, nil, FromLimits(now, m.Limits))
 	return fromDecision(m)
 }
 
@@ -293,14 +293,14 @@
 	defer cancel()
 	now := c.cfg.Now()
 	list := poolReports(now, c.cfg.Notices.Board(), c.cfg.Registry(), p)
-	m, err := client.Exchange(ctx, &permitpb.Limits{Service: p.Service, Datacentre: p.Datacentre, Limits: toLimits(now, list)})
+	m, err := client.Exchange(ctx, &permitpb.Limits{Service: p.Service, Datacentre: p.Datacentre, Limits: ToLimits(now, list)})
 	if err != nil {
 		c.recordFailure(ctx, now, node, err)
 		return
 	}
 	c.recordAnswer(name)
 	now = c.cfg.Now()
-	c.cfg.Notices.Learn(now, nil, fromLimits(now, m.Limits))
+	c.cfg.Notices.Learn(now, nil, FromLimits(now, m.Limits))
 }
 
 // exchangeSometimes learns the limits of a pool from one of its keepers, if that has not been done lately.
--- a/internal/wire/permit/message.go
+++ b/internal/wire/permit/message.go
@@ -31,7 +31,8 @@
 	return notice.Target{ID: m.GetTarget(), StartedAt: m.GetStarted()}
 }
 
-func toLimits(now time.Time, list []notice.LimitReport) []*permitpb.Limit {
+// ToLimits returns the messages of reports at now.
+func ToLimits(now time.Time, list []notice.LimitReport) []*permitpb.Limit {
 	out := make([]*permitpb.Limit, 0, len(list))
 	for _, r := range list {
 		m := &permitpb.Limit{Run: toRun(r.Target), SentUs: now.Sub(r.SentAt).Microseconds(), HeardUs: now.Sub(r.HeardAt).Microseconds()}
@@ -45,7 +46,8 @@
 	return out
 }
 
-func fromLimits(now time.Time, list []*permitpb.Limit) []notice.LimitReport {
+// FromLimits returns the reports of messages that were received at now.
+func FromLimits(now time.Time, list []*permitpb.Limit) []notice.LimitReport {
 	out := make([]notice.LimitReport, 0, len(list))
 	for _, m := range list {
 		r := notice.LimitReport{
@@ -63,7 +65,7 @@
 func toClaim(now time.Time, p ratelimit.Pool, c ratelimit.Claim, known []notice.LimitReport) *permitpb.Claim {
 	m := &permitpb.Claim{
 		Service: p.Service, Datacentre: p.Datacentre, Id: c.ID, Priority: int32(c.Priority), Invested: c.IsInvested, Worth: c.Worth,
-		WaitUs: c.StartBy.Sub(now).Microseconds(), Limits: toLimits(now, known),
+		WaitUs: c.StartBy.Sub(now).Microseconds(), Limits: ToLimits(now, known),
 	}
 	if !c.ReadyAt.IsZero() {
 		m.ReadyUs = max(1, c.ReadyAt.Sub(now).Microseconds())
--- a/internal/wire/permit/server.go
+++ b/internal/wire/permit/server.go
@@ -44,7 +44,7 @@
 		return nil, err
 	}
 	now = cfg.Now()
-	out := &permitpb.Decision{Limits: toLimits(now, reports(now, cfg.Notices.Board(), c.Targets))}
+	out := &permitpb.Decision{Limits: ToLimits(now, reports(now, cfg.Notices.Board(), c.Targets))}
 	switch d := d.(type) {
 	case ratelimit.Granted:
 		out.State, out.Target = string(stateGranted), toRun(d.Target)
@@ -66,11 +66,11 @@
 	now := cfg.Now()
 	s.learn(now, m.Limits)
 	list := poolReports(now, cfg.Notices.Board(), cfg.Registry(), ratelimit.Pool{Service: m.Service, Datacentre: m.Datacentre})
-	return &permitpb.Limits{Service: m.Service, Datacentre: m.Datacentre, Limits: toLimits(now, list)}, nil
+	return &permitpb.Limits{Service: m.Service, Datacentre: m.Datacentre, Limits: ToLimits(now, list)}, nil
 }
 
 func (s server) learn(now time.Time, list []*permitpb.Limit) {
-	s.keeper.cfg.Notices.Learn(now, nil, fromLimits(now, list))
+	s.keeper.cfg.Notices.Learn(now, nil, FromLimits(now, list))
 }
 
 // reports returns the reports on some targets.
