Keep the limits that the product's own targets name

Change: the header Limit in the responses to attempts, a refusal's too; the owner, the one place that sends to a target, spaces runs by it, queues what can wait, and rejects the rest at once with the time at which there is room. Values that cannot be used are logged and change nothing. The stand-in names limits (fault limit). Conclusion: a new owner learns the limit from its first response.

--- a/internal/fleet/node/catalog.go
+++ b/internal/fleet/node/catalog.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"sort"
 	"time"
 
@@ -126,6 +127,19 @@
 // drainingRetention is the minimum time for which a target counts as draining after it reported so.
 const drainingRetention = 5 * time.Minute
 
+// logLimit logs a limit that a target has named, changed or ended, or one that cannot be used.
+func (n *Node) logLimit(name string, perSecond float64, err error) {
+	log := n.log.With("target", name)
+	switch {
+	case err != nil:
+		log.Warn("target sent an invalid limit", err)
+	case math.IsInf(perSecond, 1):
+		log.Info("target names no limit any more")
+	default:
+		log.With("limit", perSecond).Info("target names a limit of runs a second")
+	}
+}
+
 func (n *Node) markTargetDraining(name string) {
 	now := n.cfg.Now()
 	n.log.With("target", name).Info("target reports that it is draining")
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -144,7 +144,7 @@
 	n.era.init()
 	n.witness.init(now.Add(n.leaseTerms.TakeoverWait()))
 	n.lastTick.Store(now.UnixNano())
-	n.owner = owner.New(owner.Config{Now: cfg.Now, Backend: n.backend, HasLease: n.hasLease, CheckBlocked: n.checkBlocked, OnTargetDraining: n.markTargetDraining})
+	n.owner = owner.New(owner.Config{Now: cfg.Now, Backend: n.backend, HasLease: n.hasLease, CheckBlocked: n.checkBlocked, OnLimit: n.logLimit, OnTargetDraining: n.markTargetDraining})
 	n.ledgers = newLedgers(n)
 	n.coordinator = coordinator.New(coordinator.Config{
 		Node:         s.Name,
--- a/internal/fleet/owner/limiter.go
+++ b/internal/fleet/owner/limiter.go
@@ -1,8 +1,10 @@
 package owner
 
 import (
+	"math"
 	"time"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/ratelimit"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/target"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/admission"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/outcome"
@@ -50,6 +52,10 @@
 	// mayHaveRestarted is set while the target has not responded since its last attempt ended: it may have
 	// restarted meanwhile, with no attempt running that would have shown it.
 	mayHaveRestarted bool
+	// rate is the number of runs a second that the target takes, +Inf for any, as it said at rateAt; pacer spaces them.
+	rate   float64
+	rateAt time.Time
+	pacer  ratelimit.Pacer
 	// inherited attempts of a former owner may run until inheritedUntil.
 	inherited      int
 	inheritedUntil time.Time
@@ -57,7 +63,7 @@
 
 // NewLimiter returns the limiter of a target in the given health.
 func NewLimiter(b target.Bounds, queueLimit int, h target.Health) *Limiter {
-	return &Limiter{bounds: b, queueLimit: queueLimit, health: h.Clamped(b), queue: admission.NewQueue(), running: map[string]time.Time{}}
+	return &Limiter{bounds: b, queueLimit: queueLimit, health: h.Clamped(b), queue: admission.NewQueue(), running: map[string]time.Time{}, rate: math.Inf(1)}
 }
 
 // SetInherited counts attempts of a former owner until the given time.
@@ -97,7 +103,48 @@
 	if l.mayHaveRestarted {
 		limit = min(limit, l.bounds.ColdLimit)
 	}
-	return limit - len(l.running) - l.Inherited(now)
+	available := limit - len(l.running) - l.Inherited(now)
+	if !l.isPaced() {
+		return available
+	}
+	if l.pacer.Next(now).After(now) {
+		return 0
+	}
+	return min(available, 1)
+}
+
+// start counts an attempt that is about to be sent.
+func (l *Limiter) start(now time.Time, id string) {
+	l.running[id] = time.Time{}
+	if l.isPaced() {
+		l.pacer = l.pacer.WithSend(now)
+	}
+}
+
+func (l *Limiter) isPaced() bool { return !math.IsInf(l.rate, 1) }
+
+// Rate returns the number of runs a second that the target takes, +Inf for any.
+func (l *Limiter) Rate() float64 { return l.rate }
+
+// SetRate sets the number of runs a second that the target takes, as the response to an attempt that was sent at sentAt says. A
+// response to an attempt that was sent before the latest one said so counts only if it is stricter.
+func (l *Limiter) SetRate(now, sentAt time.Time, perSecond float64) {
+	if sentAt.Before(l.rateAt) && perSecond >= l.rate {
+		return
+	}
+	l.rateAt = now
+	if perSecond == l.rate {
+		return
+	}
+	wasPaced := l.isPaced()
+	l.rate = perSecond
+	switch {
+	case !l.isPaced():
+	case wasPaced:
+		l.pacer = l.pacer.WithRate(ratelimit.FleetRate(perSecond))
+	default:
+		l.pacer = ratelimit.NewPacer(now, ratelimit.FleetRate(perSecond), 1)
+	}
 }
 
 // MaySend reports, right before the send, whether an admitted attempt may still be sent.
@@ -116,7 +163,7 @@
 	}
 	available := l.availableSlots(now, leased)
 	if available > 0 && l.queue.Len() == 0 {
-		l.running[j.ID] = time.Time{}
+		l.start(now, j.ID)
 		return Admitted{}
 	}
 	if l.health.Phase == target.Cold {
@@ -149,9 +196,13 @@
 	return l.queueDelay(max(0, l.queue.CountAhead(j)+1-max(available, 0)))
 }
 
-// queueDelay returns how long the target takes for n jobs at its concurrency limit.
+// queueDelay returns how long the target takes for n jobs at its concurrency limit and the rate that it has named.
 func (l *Limiter) queueDelay(n int) time.Duration {
-	return l.serviceTime * time.Duration(n) / time.Duration(max(1, l.health.ConcurrencyLimit))
+	delay := l.serviceTime * time.Duration(n) / time.Duration(max(1, l.health.ConcurrencyLimit))
+	if l.isPaced() {
+		delay = max(delay, time.Duration(float64(n)*float64(time.Second)/ratelimit.FleetRate(l.rate)))
+	}
+	return delay
 }
 
 // Next returns the jobs that may start now and those that can no longer meet their deadline. After the target
@@ -162,12 +213,12 @@
 		l.queue.Remove(j.ID)
 		late = append(late, j)
 	}
-	for available := l.availableSlots(now, leased); available > 0; available-- {
+	for l.availableSlots(now, leased) > 0 {
 		j, ok := l.queue.Pop()
 		if !ok {
 			break
 		}
-		l.running[j.ID] = time.Time{}
+		l.start(now, j.ID)
 		start = append(start, j)
 	}
 	return start, late, shed
--- a/internal/fleet/owner/limiter_test.go
+++ b/internal/fleet/owner/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -197,3 +198,55 @@
 		})
 	}
 }
+
+// TestLimiterKeepsRateOfTarget covers a target that names a limit while it still answers all that it gets: the owner is the one
+// place that sends to it, so the limit holds for the fleet.
+func TestLimiterKeepsRateOfTarget(t *testing.T) {
+	const perSecond, length = 5, 20 * time.Second
+	b := target.Bounds{ColdLimit: 32, SuccessesPerStep: 1, WarmLimit: 32}
+	l := NewLimiter(b, 64, target.New(b))
+	l.SetRate(start, start, perSecond)
+	// A response to an attempt that was sent before the limit was named does not lift it.
+	l.SetRate(start.Add(time.Millisecond), start.Add(-time.Second), math.Inf(1))
+	var sends []time.Time
+	queued, rejected := 0, 0
+	for at := start; at.Before(start.Add(length)); at = at.Add(10 * time.Millisecond) {
+		id := at.String()
+		switch l.Submit(at, job(id, at.Add(time.Second)), true).(type) {
+		case Admitted:
+			sends = append(sends, at)
+			l.FreeSlot(id)
+		case Queued:
+			queued++
+		case Rejection:
+			rejected++
+		}
+		ready, _, _ := l.Next(at, true)
+		for _, j := range ready {
+			sends = append(sends, at)
+			l.FreeSlot(j.ID)
+		}
+	}
+	for i, at := range sends {
+		n := 0
+		for _, earlier := range sends[:i+1] {
+			if at.Sub(earlier) < 4*time.Second {
+				n++
+			}
+		}
+		if n > perSecond*4+1 {
+			t.Fatalf("got %d sends in 4 s until %s, want at most %d", n, at.Sub(start), perSecond*4+1)
+		}
+	}
+	if want := int(0.8 * perSecond * length.Seconds()); len(sends) < want {
+		t.Errorf("got %d sends, want at least %d", len(sends), want)
+	}
+	if rejected < 10*len(sends) || queued == 0 {
+		t.Errorf("got %d rejected and %d queued, want what finds no place in time rejected", rejected, queued)
+	}
+	end := start.Add(length)
+	l.SetRate(end, end, math.Inf(1))
+	if _, ok := l.Submit(end, job("last", end.Add(time.Second)), true).(Admitted); !ok && l.queue.Len() == 0 {
+		t.Error("got a job that is neither admitted nor queued after the limit ended")
+	}
+}
--- a/internal/fleet/owner/owner.go
+++ b/internal/fleet/owner/owner.go
@@ -58,6 +58,8 @@
 	HasLease func(now time.Time) bool
 	// CheckBlocked reports whether a target takes no new work, and returns the rejection that it gets.
 	CheckBlocked func(now time.Time, target string) (Rejection, bool)
+	// OnLimit is called when a target names another limit of runs a second, +Inf for none, or one that cannot be used.
+	OnLimit func(target string, perSecond float64, err error)
 	// OnTargetDraining is called when a target reports that it is draining.
 	OnTargetDraining func(target string)
 }
@@ -261,9 +263,20 @@
 	a := t.Attempt
 	a.FencingToken = owned.epoch
 	a.Remaining = t.Deadline.Sub(started)
-	a.OnHeader = func(bootID string) {
+	a.OnHeader = func(h backend.Header) {
 		now := o.cfg.Now()
-		owned.update(now, o.cfg.HasLease(now), func(l *Limiter) { l.RecordBoot(bootID) })
+		var before, after float64
+		owned.update(now, o.cfg.HasLease(now), func(l *Limiter) {
+			l.RecordBoot(h.BootID)
+			before = l.Rate()
+			if h.LimitErr == nil {
+				l.SetRate(now, started, h.Limit)
+			}
+			after = l.Rate()
+		})
+		if before != after || h.LimitErr != nil {
+			o.cfg.OnLimit(t.Target, after, h.LimitErr)
+		}
 	}
 	result := o.cfg.Backend.Run(ctx, t.Address, a, part)
 	now := o.cfg.Now()
--- a/internal/fleet/ratelimit/desk.go
+++ b/internal/fleet/ratelimit/desk.go
@@ -33,7 +33,7 @@
 	// different ones.
 	phase  float64
 	claims []Claim
-	pacers map[notice.Target]pacer
+	pacers map[notice.Target]Pacer
 	// promised is until when callers that were rejected have been told to come back, by the rank of their claims; polled is the
 	// same of claims whose requests go elsewhere.
 	promised [2 * priorities]time.Time
@@ -42,7 +42,7 @@
 
 // NewDesk returns the desk of the keeper with a rank.
 func NewDesk(rank int) *Desk {
-	return &Desk{phase: float64(rank%keeperCount+1) / keeperCount, pacers: map[notice.Target]pacer{}}
+	return &Desk{phase: float64(rank%keeperCount+1) / keeperCount, pacers: map[notice.Target]Pacer{}}
 }
 
 // Add adds a claim, on which Settle decides.
@@ -99,7 +99,7 @@
 	d.claims = kept
 	for _, s := range settled {
 		if g, ok := s.Decision.(Granted); ok {
-			d.pacers[g.Target] = d.pacers[g.Target].withGrant(now)
+			d.pacers[g.Target] = d.pacers[g.Target].WithSend(now)
 		}
 	}
 	return settled, next
@@ -115,13 +115,13 @@
 				continue
 			}
 			if p, ok := d.pacers[t]; ok {
-				d.pacers[t] = p.withRate(r)
+				d.pacers[t] = p.WithRate(r)
 			} else {
-				d.pacers[t] = newPacer(now, r, d.phase)
+				d.pacers[t] = NewPacer(now, r, d.phase)
 			}
 		}
 	}
-	maps.DeleteFunc(d.pacers, func(_ notice.Target, p pacer) bool { return now.Sub(p.next) > idlePacer && now.Sub(p.last) > idlePacer })
+	maps.DeleteFunc(d.pacers, func(_ notice.Target, p Pacer) bool { return now.Sub(p.next) > idlePacer && now.Sub(p.last) > idlePacer })
 }
 
 // promise returns after what time a claim like c that cannot be granted before at should come back.
--- a/internal/fleet/ratelimit/pacer.go
+++ b/internal/fleet/ratelimit/pacer.go
@@ -8,34 +8,34 @@
 // savedTime is the time whose grants a pacer may save up, so that short gaps between claims at a high rate cost nothing.
 const savedTime = 100 * time.Millisecond
 
-// pacer spaces the grants of one keeper for one target: a token bucket in the form of the theoretical arrival time of the
-// next grant, which saves at least one grant.
-type pacer struct {
+// Pacer spaces the sends to one target: a token bucket in the form of the theoretical arrival time of the next send, which
+// saves at least one.
+type Pacer struct {
 	rate float64
 	// last is the last grant, or the start; next is when the following one is due at the rate.
 	last time.Time
 	next time.Time
 }
 
-// newPacer returns a pacer whose first grant is due after a part of its interval.
-func newPacer(now time.Time, rate, part float64) pacer {
-	p := pacer{rate: rate, last: now}
+// NewPacer returns a pacer of a number of sends a second, the first of which is due after a part of its interval.
+func NewPacer(now time.Time, rate, part float64) Pacer {
+	p := Pacer{rate: rate, last: now}
 	p.next = now.Add(time.Duration(part * float64(p.interval()))).Add(p.saved())
 	return p
 }
 
-func (p pacer) interval() time.Duration {
+func (p Pacer) interval() time.Duration {
 	return time.Duration(float64(time.Second) / p.rate)
 }
 
 // saved is how long before it is due a grant may be taken.
-func (p pacer) saved() time.Duration {
+func (p Pacer) saved() time.Duration {
 	return p.interval() * time.Duration(max(0, math.Floor(p.rate*savedTime.Seconds())-1))
 }
 
-// withRate returns the pacer at another rate. Grants that were taken early still count, but at a lower rate only the last one:
+// WithRate returns the pacer at another rate. Sends that were taken early still count, but at a lower rate only the last one:
 // the others were due at the rate before.
-func (p pacer) withRate(rate float64) pacer {
+func (p Pacer) WithRate(rate float64) Pacer {
 	if rate == p.rate {
 		return p
 	}
@@ -48,8 +48,11 @@
 	return p
 }
 
+// Next returns when the next send is allowed, now at the earliest.
+func (p Pacer) Next(now time.Time) time.Time { return p.slot(now, 0) }
+
 // slot returns when the grant after k others may be taken, now at the earliest.
-func (p pacer) slot(now time.Time, k int) time.Time {
+func (p Pacer) slot(now time.Time, k int) time.Time {
 	next := p.next
 	if next.Before(now) {
 		next = now
@@ -61,7 +64,7 @@
 }
 
 // lastSlot returns the greatest k whose grant may be taken at a time, 0 if there is none.
-func (p pacer) lastSlot(now, at time.Time) int {
+func (p Pacer) lastSlot(now, at time.Time) int {
 	wait := at.Sub(p.slot(now, 0))
 	if wait <= 0 {
 		return 0
@@ -69,8 +72,8 @@
 	return int(wait / p.interval())
 }
 
-// withGrant returns the pacer after a grant at now.
-func (p pacer) withGrant(now time.Time) pacer {
+// WithSend returns the pacer after a send at now.
+func (p Pacer) WithSend(now time.Time) Pacer {
 	if p.next.Before(now) {
 		p.next = now
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -50,6 +50,8 @@
 	Errors int `json:"error"`
 	// Draining makes the engine refuse all work and report that it drains.
 	Draining bool `json:"leaving"`
+	// Limit is the number of runs a second that the engine names in its responses, 0 for none.
+	Limit float64 `json:"limit"`
 }
 
 // Counts are the counts of what an engine really ran.
@@ -292,6 +294,12 @@
 	return e.cfg.Name + "-" + strconv.Itoa(e.boot)
 }
 
+func (e *Engine) limit() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Limit
+}
+
 // applyEffect counts one application of the effect of an order.
 func (e *Engine) applyEffect(order string) {
 	if order == "" {
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -90,6 +90,9 @@
 	decision, serviceTime, crashed := e.admit(x.id, token, cancel)
 	w.Header().Set(backend.HeaderBoot, e.bootID())
 	w.Header().Set(backend.HeaderAttempt, x.id)
+	if limit := e.limit(); limit > 0 {
+		w.Header().Set(backend.HeaderLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	switch decision {
 	case admitted:
 	case overCapacity:
--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -31,6 +32,7 @@
 	HeaderAfter     = "After"
 	HeaderBoot      = "Boot"
 	HeaderRefused   = "Refused"
+	HeaderLimit     = "Limit"
 )
 
 // ReasonDraining is the value of HeaderRefused from a target that is draining.
@@ -58,8 +60,31 @@
 	ResumeAfter uint64
 	Stream      bool
 	Body        []byte
-	// OnHeader is called with the target's boot ID when the response header arrives; it may be nil.
-	OnHeader func(bootID string)
+	// OnHeader is called when the header of a response to the attempt arrives, a refusal's too; it may be nil.
+	OnHeader func(h Header)
+}
+
+// Header is what the header of a response says of its target.
+type Header struct {
+	BootID string
+	// Limit is the number of runs a second that the target takes, +Inf if it names none. LimitErr is set if the value cannot be
+	// used; the limit is then unknown.
+	Limit    float64
+	LimitErr error
+}
+
+func parseHeader(h http.Header) Header {
+	x := Header{BootID: h.Get(HeaderBoot), Limit: math.Inf(1)}
+	if _, ok := h[HeaderLimit]; !ok {
+		return x
+	}
+	limit, err := strconv.ParseFloat(h.Get(HeaderLimit), 64)
+	if err != nil || !(limit >= 0) || math.IsInf(limit, 0) {
+		x.LimitErr = merry.Errorf("%s of a target is not a number of runs a second: %q", HeaderLimit, h.Get(HeaderLimit))
+		return x
+	}
+	x.Limit = limit
+	return x
 }
 
 // Load is the load that a target reports.
@@ -154,13 +179,13 @@
 		c.Counts.Mismatched.Add(1)
 		return Incomplete{Reason: "answer belongs to another attempt", BootID: bootID}
 	}
+	if a.OnHeader != nil {
+		a.OnHeader(parseHeader(resp.Header))
+	}
 	if reason := resp.Header.Get(HeaderRefused); resp.StatusCode != http.StatusOK {
 		return Refused{Reason: reason, BootID: bootID, Draining: reason == ReasonDraining}
 	}
 	headerLatency := time.Since(started)
-	if a.OnHeader != nil {
-		a.OnHeader(bootID)
-	}
 	r := reader{client: c, attempt: a, resetIdle: func() { idleTimer.Reset(a.IdleTimeout) }, onEvent: onEvent}
 	output, events, err := r.read(resp.Body)
 	if err != nil {
