Close idle connections last in a planned stop

Cause: the node closed all idle connections when the stop began, while their callers were sending. Change: from the start of a stop each response ends its connection; idle connections are closed once the server no longer listens and nothing is under way. The same for the product's own servers. Measured: TestStopAnswersRequestsOnIdleConnections fails with SetKeepAlivesEnabled in its place (unexpected EOF).

--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -366,7 +366,7 @@
 	n.cfg.Log.WithField("grace_ms", grace.Milliseconds()).Info("node: stopping")
 	n.draining.Store(true)
 	n.gateway.Drain(started, grace)
-	n.callerServer.SetKeepAlivesEnabled(false)
+	n.callerListener.EndKeepAlives()
 	n.dispatcher.Drain()
 	go n.deregister()
 	n.view.broadcaster.Close()
--- a/internal/operator/process/process.go
+++ b/internal/operator/process/process.go
@@ -206,6 +206,9 @@
 // Stop drains and stops the process: running requests finish unless ctx ends. Streams that callers read here, but
 // whose coordinator is another node, finish before the node leaves its peers.
 func (p *Process) Stop(ctx context.Context) {
+	for _, s := range p.servers {
+		s.listener.EndKeepAlives()
+	}
 	p.node.Drain(ctx)
 	for _, s := range p.servers {
 		if err := s.listener.Drain(ctx); err != nil {
--- a/internal/wire/transport/drain.go
+++ b/internal/wire/transport/drain.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -21,11 +22,14 @@
 // Listener is the listener of one server, which knows the connections that bring a request or wait for a response.
 //
 // http.Server.Shutdown closes a connection without a response if its request is read after the call began. Drain therefore closes
-// the listener first, and shuts the server down once no request is on its way.
+// the listener first, and shuts the server down once no request is on its way. Idle connections are closed last: a request on
+// one of them is answered, and its response ends the connection.
 type Listener struct {
 	net.Listener
 	server *http.Server
 	now    func() time.Time
+	// closing is set once responses end their connections.
+	closing atomic.Bool
 	// ended is closed once the listener has been closed and the server has taken over all connections; endOnce guards it.
 	ended   chan struct{}
 	endOnce sync.Once
@@ -36,13 +40,24 @@
 	active map[net.Conn]bool
 }
 
-// NewListener returns the listener with which a server has to be served, and sets the server's ConnState.
+// NewListener returns the listener with which a server has to be served, sets the server's ConnState and wraps its handler.
 func NewListener(l net.Listener, s *http.Server, now func() time.Time) *Listener {
 	t := &Listener{Listener: l, server: s, now: now, ended: make(chan struct{}), opened: map[net.Conn]time.Time{}, active: map[net.Conn]bool{}}
 	s.ConnState = t.record
+	handler := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if t.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
 	return t
 }
 
+// EndKeepAlives makes each connection end with the response to its next request. Idle connections stay open: their callers may
+// just be sending.
+func (l *Listener) EndKeepAlives() { l.closing.Store(true) }
+
 // Accept accepts a connection. The server has taken over the former one when it calls Accept again.
 func (l *Listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
@@ -80,7 +95,7 @@
 // Drain closes the listener, waits until no request is on its way or being answered, and shuts the server down. Serve returns
 // net.ErrClosed then. The error is that of ctx if requests were still running when it ended.
 func (l *Listener) Drain(ctx context.Context) error {
-	l.server.SetKeepAlivesEnabled(false)
+	l.EndKeepAlives()
 	if err := l.Close(); err != nil {
 		return merry.Prepend(err, "close listener")
 	}
--- a/internal/wire/transport/drain_test.go
+++ b/internal/wire/transport/drain_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -103,3 +104,53 @@
 	close(block)
 	_ = s.Close()
 }
+
+// TestStopAnswersRequestsOnIdleConnections covers callers whose connections are idle when a stop begins, and who use them until the
+// server no longer listens.
+func TestStopAnswersRequestsOnIdleConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	server := NewListener(l, s, time.Now)
+	go func() { _ = s.Serve(server) }()
+	defer s.Close()
+	const callers = 50
+	var conns []net.Conn
+	var readers []*bufio.Reader
+	for range callers {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns, readers = append(conns, c), append(readers, bufio.NewReader(c))
+	}
+	request := func(i int) (*http.Response, error) {
+		if _, err := fmt.Fprint(conns[i], "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			return nil, err
+		}
+		resp, err := http.ReadResponse(readers[i], nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		return resp, err
+	}
+	for i := range callers {
+		if resp, err := request(i); err != nil || resp.Close {
+			t.Fatalf("got error %v before the stop, want a connection that stays open", err)
+		}
+	}
+	server.EndKeepAlives()
+	for i := range callers {
+		if resp, err := request(i); err != nil || !resp.Close {
+			t.Errorf("got error %v during the stop, want a response that ends its connection", err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := server.Drain(ctx); err != nil {
+		t.Errorf("got error %v, want a server that has drained", err)
+	}
+}
