Keep the cold limit while nodes stop and start

A stopping node leaves the list when its stop begins and serves for seconds more, with a share beside those of the others; a joining node has one before they count it. Change: a node that is not in its list has no share, nor has one in its first second. Measured: TestSharesStayWithinLimitWhileFleetChanges failed (three of six stop, limit 11: 12; five of six stop, limit 5: 24) and passes.

--- a/internal/fleet/coldstart/coldstart.go
+++ b/internal/fleet/coldstart/coldstart.go
@@ -1,6 +1,7 @@
 package coldstart
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/rendezvous"
@@ -13,6 +14,8 @@
 	// usableShare is the share of the cold limit that known nodes use; the rest is for nodes that do not know of each
 	// other yet.
 	usableShare = 0.8
+	// JoinTime is how long a node that starts makes no send to cold targets: until then the shares of the others may not count it.
+	JoinTime = time.Second
 	// defaultNodes is the number of nodes assumed until the list of nodes has been read.
 	defaultNodes = 8
 )
@@ -21,13 +24,17 @@
 // limit.
 //
 // It protects a target that restarts cold under full load. Every node computes its share from the same list; if there
-// are more nodes than sends, the nodes that rank first for the target get one each.
+// are more nodes than sends, the nodes that rank first for the target get one each. A node that is not in its list, since it
+// stops, has none: the others share the limit without it.
 func NodeShare(target, self string, nodes []string, limit float64) int {
 	sends := int(limit * usableShare)
 	count := max(len(nodes), 1)
 	if len(nodes) == 0 {
 		count = defaultNodes
 	}
+	if len(nodes) > 0 && !slices.Contains(nodes, self) {
+		return 0
+	}
 	if sends >= count {
 		return sends / count
 	}
--- a/internal/fleet/coldstart/coldstart_test.go
+++ b/internal/fleet/coldstart/coldstart_test.go
@@ -41,3 +41,41 @@
 		}
 	}
 }
+
+// TestSharesStayWithinLimitWhileFleetChanges covers nodes that stop and still serve for some seconds, and nodes that start,
+// while the others have the list without or with them.
+func TestSharesStayWithinLimitWhileFleetChanges(t *testing.T) {
+	names := func(from, to int) []string {
+		var list []string
+		for i := from; i < to; i++ {
+			list = append(list, fmt.Sprint("n", i))
+		}
+		return list
+	}
+	tests := []struct {
+		name string
+		// lists has the list of each node that serves.
+		lists map[string][]string
+	}{
+		{name: "three of six stop", lists: map[string][]string{
+			"n0": names(0, 3), "n1": names(0, 3), "n2": names(0, 3), "n3": names(0, 3), "n4": names(0, 3), "n5": names(0, 3),
+		}},
+		{name: "five of six stop", lists: map[string][]string{
+			"n0": names(0, 1), "n1": names(0, 1), "n2": names(0, 1), "n3": names(0, 1), "n4": names(0, 1), "n5": names(0, 1),
+		}},
+		{name: "one of six has stopped, others do not know", lists: map[string][]string{
+			"n0": names(0, 5), "n1": names(0, 6), "n2": names(0, 6), "n3": names(0, 5), "n4": names(0, 6), "n5": names(0, 5),
+		}},
+	}
+	for _, tt := range tests {
+		for _, limit := range []float64{2, 5, 11, 18.2, 60} {
+			sum := 0
+			for self, list := range tt.lists {
+				sum += NodeShare("t", self, list, limit)
+			}
+			if float64(sum) > limit {
+				t.Errorf("%s, limit %v: got shares that add up to %d, want at most the limit", tt.name, limit, sum)
+			}
+		}
+	}
+}
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -136,7 +136,7 @@
 	}
 	n.dispatchClient = dispatch.NewClient(dispatch.ClientConfig{Self: s.Name, Local: n.dispatcher, Registry: n.view.registry.Load, Notices: n.notices, Log: n.cfg.Log, Now: n.cfg.Now})
 	n.gateway = gateway.New(gateway.Config{
-		Self: s.Name, Datacentre: s.Datacentre, Headers: n.cfg.Headers, Connections: n.cfg.Connections, Dispatch: n.dispatchClient,
+		Self: s.Name, Datacentre: s.Datacentre, StartedAt: n.cfg.Now(), Headers: n.cfg.Headers, Connections: n.cfg.Connections, Dispatch: n.dispatchClient,
 		Table: n.view.table.Load, Registry: n.view.registry.Load, Notices: n.notices, Permits: n.permits, Quarantine: n.view.crashes.keeper, CrashesKnown: n.crashesKnown, RetryBudget: s.RetryBudget, ColdLimit: s.ColdLimit,
 		Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
 	})
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -67,8 +67,10 @@
 // Config holds the settings and dependencies of a Gateway.
 type Config struct {
 	// Self is the name of this node, Datacentre its data centre.
-	Self        string
-	Datacentre  string
+	Self       string
+	Datacentre string
+	// StartedAt is when this node started.
+	StartedAt   time.Time
 	Headers     HeaderCodec
 	Connections *connection.Pool
 	Dispatch    *dispatch.Client
--- a/internal/wire/gateway/limit.go
+++ b/internal/wire/gateway/limit.go
@@ -186,5 +186,8 @@
 	if rs.service.ColdRateLimit == 0 {
 		return int(limit)
 	}
+	if g.cfg.Now().Sub(g.cfg.StartedAt) < coldstart.JoinTime {
+		return 0
+	}
 	return coldstart.NodeShare(t.ID, g.cfg.Self, g.cfg.Registry().NodeNames(), limit)
 }
