Let followers join a relay whose view is a little old

Cause: they come to the next relay at one moment; if its watch happens to be late then, its report is stale and all of them leave it. Change: in the first half second after it was joined a relay's view may be half a second older; its next report has to be fresh. A store that rejects nodes is not stable, so that the bound on configurations leaves room. And: shares of cold limits and claims are computed only for targets that need them.

--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -300,6 +300,7 @@
 		defer retry.Stop()
 	}
 	maxAge := relay.MaxStoreAge(min(v.cfg.Settings.DrainTime, v.cfg.Settings.ConfigTime))
+	joined := v.cfg.Now()
 	var mu sync.Mutex
 	var report relay.Report
 	followed := false
@@ -308,7 +309,7 @@
 	err := snapshot.Follow(ctx, r.Address, func(u snapshot.Update, age time.Duration) error {
 		now := v.cfg.Now()
 		mu.Lock()
-		report = relay.Report{ReceivedAt: now, StoreAge: age, MaxStoreAge: maxAge}
+		report = relay.Report{ReceivedAt: now, StoreAge: age, MaxStoreAge: maxAge + relay.JoinGrace(now.Sub(joined))}
 		mu.Unlock()
 		if !report.Fresh(now) {
 			return errRelayStale
--- a/internal/wire/dispatch/grants.go
+++ b/internal/wire/dispatch/grants.go
@@ -40,6 +40,10 @@
 
 // claimTargets asks for calls to limited targets while pieces wait; the lock is held.
 func (d *Dispatcher) claimTargets(now time.Time, s *shardScheduler) {
+	targets := s.TargetsToClaim(now)
+	if len(targets) == 0 {
+		return
+	}
 	priority, startBy := s.MostUrgent()
 	if startBy.IsZero() {
 		priority = idlePriority
@@ -47,7 +51,7 @@
 	if latest := now.Add(maxGrantWait); startBy.IsZero() || startBy.After(latest) {
 		startBy = latest
 	}
-	for _, t := range s.TargetsToClaim(now) {
+	for _, t := range targets {
 		c := ratelimit.Claim{ID: d.cfg.Self + "/call/" + t.ID, Targets: []notice.Target{t.Run()}, Priority: priority, Worth: 1, StartBy: startBy}
 		go d.claimTarget(s, t, c)
 	}
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -192,7 +192,7 @@
 			return pick{wait: now}
 		case c == nil:
 			return pick{retryAfter: retryAfter}
-		case g.loads.start(now, c.Target, rs.Prompt.InputTokens, g.coldShare(rs, c.Target)):
+		case g.loads.start(now, c.Target, rs.Prompt.InputTokens, g.coldShare(now, rs, c.Target)):
 			return pick{target: c}
 		default:
 			return pick{wait: now.Add(coldRecheck)}
@@ -211,7 +211,7 @@
 func (g *Gateway) pickFrom(ctx context.Context, now time.Time, rs *requestState, order []balancer.Candidate) pick {
 	asked := 0
 	for _, c := range order {
-		share := g.coldShare(rs, c.Target)
+		share := g.coldShare(now, rs, c.Target)
 		if c.IsLimited {
 			if asked == maxAsked || g.loads.isColdFull(now, c.Target, share) {
 				continue
--- a/internal/wire/gateway/limit.go
+++ b/internal/wire/gateway/limit.go
@@ -28,11 +28,11 @@
 
 // withGrantTimes sets when a grant may be asked for at the limited candidates.
 func (g *Gateway) withGrantTimes(now time.Time, rs *requestState, list []balancer.Candidate) []balancer.Candidate {
-	rank := g.claim(rs).Rank()
 	for i, c := range list {
 		if !c.IsLimited {
 			continue
 		}
+		rank := g.claim(rs).Rank()
 		at, ok := g.cfg.Permits.NextAt(now, poolOf(c.Target), c.Target.Run(), rank)
 		if !ok {
 			at = now.Add(shortRetry)
@@ -51,6 +51,17 @@
 	return ratelimit.Claim{ID: rs.claimID, Targets: targets, Priority: rs.priority(), IsInvested: len(rs.inputs) > 0 || rs.LastEventID != "", Worth: g.worth(rs)}
 }
 
+// groupClaim returns the claim of a request that may wait for a send to any of the limited targets of a pool.
+func (g *Gateway) groupClaim(now time.Time, rs *requestState, group []balancer.Candidate) ratelimit.Claim {
+	c := g.claim(rs)
+	for _, x := range group[:min(len(group), maxClaimed)] {
+		c.Targets = append(c.Targets, x.Target.Run())
+	}
+	c.StartBy = g.startBy(now, rs)
+	c.ReturnBy = now.Add(time.Duration(returnShare * float64(rs.deadline.Sub(now))))
+	return c
+}
+
 // worth returns the size of a request against the mean of its route.
 func (g *Gateway) worth(rs *requestState) float64 {
 	size := float64(rs.Prompt.Size())
@@ -91,13 +102,7 @@
 // room; neither if the request should be placed anew.
 func (g *Gateway) await(ctx context.Context, now time.Time, rs *requestState, list []balancer.Candidate) (t *balancer.Candidate, retryAfter time.Duration) {
 	for _, group := range byPool(rs, list) {
-		c := g.claim(rs)
-		for _, x := range group[:min(len(group), maxClaimed)] {
-			c.Targets = append(c.Targets, x.Target.Run())
-		}
-		c.StartBy = g.startBy(now, rs)
-		c.ReturnBy = now.Add(time.Duration(returnShare * float64(rs.deadline.Sub(now))))
-		r := g.cfg.Permits.Reserve(ctx, poolOf(group[0].Target), c)
+		r := g.cfg.Permits.Reserve(ctx, poolOf(group[0].Target), g.groupClaim(now, rs, group))
 		rs.recordReservation(r)
 		switch d := r.Decision.(type) {
 		case ratelimit.Granted:
@@ -154,14 +159,10 @@
 	}
 	var retryAfter time.Duration
 	for _, group := range byPool(rs, balancer.Order(now, g.balancerRequest(now, rs), list)) {
-		c := g.claim(rs)
-		for _, x := range group[:min(len(group), maxClaimed)] {
-			c.Targets = append(c.Targets, x.Target.Run())
-		}
+		c := g.groupClaim(now, rs, group)
 		// Once its stages have run, the request goes before those whose stages have not.
 		c.IsInvested = true
-		c.ReadyAt, c.StartBy = now.Add(graph.LeadTime()), g.startBy(now, rs)
-		c.ReturnBy = now.Add(time.Duration(returnShare * float64(rs.deadline.Sub(now))))
+		c.ReadyAt = now.Add(graph.LeadTime())
 		r := g.cfg.Permits.Reserve(ctx, poolOf(group[0].Target), c)
 		rs.recordReservation(r)
 		d, isRejected := r.Decision.(ratelimit.Rejected)
@@ -180,13 +181,16 @@
 	return refusal(causeLimited, "targets limit what they take", retryAfter)
 }
 
-// coldShare returns this node's share of the cold limit of a target.
-func (g *Gateway) coldShare(rs *requestState, t registry.Target) int {
+// coldShare returns this node's share of the cold limit of a target, 0 for a warm one.
+func (g *Gateway) coldShare(now time.Time, rs *requestState, t registry.Target) int {
+	if !t.Cold(now) {
+		return 0
+	}
 	limit := rs.service.ColdRateLimit*g.cfg.ColdLimit.Factor + g.cfg.ColdLimit.Extra
 	if rs.service.ColdRateLimit == 0 {
 		return int(limit)
 	}
-	if g.cfg.Now().Sub(g.cfg.StartedAt) < coldstart.JoinTime {
+	if now.Sub(g.cfg.StartedAt) < coldstart.JoinTime {
 		return 0
 	}
 	return coldstart.NodeShare(t.ID, g.cfg.Self, g.cfg.Registry().NodeNames(), limit)
