Test the decisions on limited targets by themselves

Cause: the desk's order, times to come back and bursts, and the placement beside limited targets, were tested in whole fleets only. Change: table and unit tests. Conclusion: no change of code.

--- a/internal/serving/balancer/place_test.go
+++ b/internal/serving/balancer/place_test.go
@@ -15,12 +15,19 @@
 	running := func(n int) Candidate {
 		return Candidate{Target: registry.Target{ID: "running", Slots: 6}, Running: n}
 	}
+	limited := func(askIn time.Duration) Candidate {
+		return Candidate{Target: registry.Target{ID: "limited", Slots: 6}, IsLimited: true, AskAt: now.Add(askIn)}
+	}
 	tests := []struct {
 		name    string
 		list    []Candidate
 		startBy time.Duration
 		want    Placement
 	}{
+		{name: "the others take what a limited one does not", list: []Candidate{limited(time.Second), running(0)}, want: Send{}},
+		{name: "the others have their share of the slots", list: []Candidate{limited(time.Second), running(3)}, startBy: time.Second, want: Wait{Until: now.Add(recheckInterval)}},
+		{name: "the others are paused for too long", list: []Candidate{limited(time.Second), paused(time.Second)}, startBy: 200 * time.Millisecond, want: Ask{}},
+		{name: "all are limited", list: []Candidate{limited(0), limited(time.Second)}, startBy: time.Second, want: Ask{}},
 		{name: "no targets", want: Reject{}},
 		{name: "the others take the load", list: []Candidate{paused(time.Second), running(0)}, want: Send{}},
 		{name: "the others have their share", list: []Candidate{paused(time.Second), running(3)}, startBy: time.Second, want: Wait{Until: now.Add(recheckInterval)}},
@@ -46,11 +53,16 @@
 }
 
 func equalPlacements(a, b Placement) bool {
-	if _, ok := a.(Send); ok {
+	switch a.(type) {
+	case Send:
 		_, ok := b.(Send)
 		return ok
+	case Ask:
+		_, ok := b.(Ask)
+		return ok
+	default:
+		return a == b
 	}
-	return a == b
 }
 
 // busyReplay replays a service near its limit in steps of a millisecond: one target turns slow, and each rejects what does
