--- a/internal/fleet/ratelimit/desk.go
+++ b/internal/fleet/ratelimit/desk.go
@@ -25,7 +25,7 @@
 
 // Desk decides on the claims for one keeper's part of the limits of a pool.
 //
-// It answers a pool whose targets take less than what comes. Each grant goes to the claim that precedes the others, so the
+// Load pattern: a pool whose targets take less than what comes. Each grant goes to the claim that precedes the others, so the
 // claims that would wait too long are known as soon as they come, and are rejected at once with the time at which the limits
 // leave room for them. The times are spaced by the limits, so that callers who come back find that room.
 type Desk struct {
--- a/internal/fleet/ratelimit/tenure.go
+++ b/internal/fleet/ratelimit/tenure.go
@@ -31,7 +31,7 @@
 
 // With returns the tenure at now, and the keepers that the node knows.
 //
-// It answers fleets whose nodes start, stop, freeze and lose each other, so that their lists differ: a node stops to grant as
+// Load pattern: a fleet whose nodes start, stop, freeze and lose each other, so that their lists differ. A node stops to grant as
 // soon as it knows that others rank before it, and begins only after these have had the time to stop.
 func (t Tenure) With(now time.Time, v View) (Tenure, []string) {
 	keepers := Keepers(v.Ranked, func(n string) bool { return n != v.Self && v.IsLost(n) })
--- a/internal/serving/balancer/place.go
+++ b/internal/serving/balancer/place.go
@@ -30,7 +30,7 @@
 
 // Place decides on a request; nodes is the number of nodes that send to the same targets.
 //
-// It answers a service near its limit, whose targets ask one after the other to be left alone, or to be sent less. If the load
+// Load pattern: a service near its limit, whose targets ask one after the other to be left alone, or to be sent less. If the load
 // of such a target went to the others at once, they would be overloaded next, and each would meet the load of all when it
 // takes requests again. So while a target is paused or limited, and a little longer, this node has no more requests at each
 // target than its share of the target's slots. What finds no place waits if it can still start in time, and is rejected at
--- a/internal/wire/dispatch/server.go
+++ b/internal/wire/dispatch/server.go
@@ -68,7 +68,7 @@
 	return out.Send(p)
 }
 
-// progressWithNews returns a message with what this node has heard of targets lately.
+// progressWithNews returns a message with the latest notices of targets.
 func (s server) progressWithNews(state progressState) *deskpb.Progress {
 	now, board := s.dispatcher.cfg.Now(), s.dispatcher.cfg.Notices.Board()
 	return &deskpb.Progress{State: string(state), Leaving: toRuns(board.News(now)), Limits: permit.ToLimits(now, board.LimitNews(now))}
--- a/internal/wire/permit/client.go
+++ b/internal/wire/permit/client.go
@@ -263,7 +263,7 @@
 	}
 }
 
-// due returns the nodes of a check and the lost ones, unless the pool was exchanged lately or they are in back-off.
+// due returns the nodes of a check and the lost ones, unless the pool was exchanged within SettleTime or they are in back-off.
 func (c *Client) due(now time.Time, p ratelimit.Pool, nodes []string) []string {
 	r := c.cfg.Registry()
 	c.mu.Lock()
