Call what tells keepers of limits by what it does

Cause: reading the change: one word stood for requests that are announced to a keeper and for changes of limits that keepers are told. Change: names only. Measured: vet and the tests of gatewaynode pass. Conclusion: no change of behaviour.

--- a/internal/operator/gatewaynode/notices.go
+++ b/internal/operator/gatewaynode/notices.go
@@ -23,7 +23,7 @@
 		time.AfterFunc(what.Duration, n.dispatcher.Refresh)
 	case notice.Limit:
 		n.onLimit(now, t, what, target.Service, log)
-		n.permits.Announce(t, from)
+		n.permits.TellKeepers(t, from)
 		go n.keeper.Refresh()
 	}
 	go n.dispatcher.Refresh()
--- a/internal/wire/permit/client.go
+++ b/internal/wire/permit/client.go
@@ -28,8 +28,8 @@
 	minAskInterval = 10 * time.Millisecond
 	// exchangeInterval is how often a node without a share learns of the limits of a pool that it wants to send to.
 	exchangeInterval = 2 * time.Second
-	// announceDelay is how long changes of limits are collected before the keepers are told.
-	announceDelay = 20 * time.Millisecond
+	// tellDelay is how long changes of limits are collected before the keepers are told.
+	tellDelay = 20 * time.Millisecond
 )
 
 // Meter records the metrics of a Client.
@@ -130,7 +130,7 @@
 			break
 		}
 		if at.After(now) && at.After(claim.StartBy) && (len(asked) > 0 || claim.ReturnBy.IsZero()) {
-			c.exchangeSometimes(now, p)
+			c.refreshLimits(now, p)
 			best = best.orSooner(ratelimit.Rejected{RetryAfter: at.Sub(now)}, "")
 			break
 		}
@@ -303,8 +303,8 @@
 	c.cfg.Notices.Learn(now, nil, FromLimits(now, m.Limits))
 }
 
-// exchangeSometimes learns the limits of a pool from one of its keepers, if that has not been done lately.
-func (c *Client) exchangeSometimes(now time.Time, p ratelimit.Pool) {
+// refreshLimits learns the limits of a pool from one of its keepers, if that has not been done lately.
+func (c *Client) refreshLimits(now time.Time, p ratelimit.Pool) {
 	keepers := slices.DeleteFunc(c.keepers(now, p), func(name string) bool { return name == c.cfg.Self })
 	if len(keepers) == 0 {
 		return
@@ -320,8 +320,8 @@
 	}
 }
 
-// Announce tells the keepers of a target's pool that its limit has changed, if this node heard of it from the target.
-func (c *Client) Announce(t notice.Target, from notice.Source) {
+// TellKeepers tells the keepers of a target's pool that its limit has changed, if this node heard of it from the target.
+func (c *Client) TellKeepers(t notice.Target, from notice.Source) {
 	c.mu.Lock()
 	c.hints.Drop(t)
 	c.mu.Unlock()
@@ -337,7 +337,7 @@
 	if isPending {
 		return
 	}
-	time.AfterFunc(announceDelay, func() {
+	time.AfterFunc(tellDelay, func() {
 		c.mu.Lock()
 		delete(c.changed, p)
 		c.mu.Unlock()
