--- a/internal/wire/permit/client.go
+++ b/internal/wire/permit/client.go
@@ -303,7 +303,7 @@
 	c.cfg.Notices.Learn(now, nil, FromLimits(now, m.Limits))
 }
 
-// refreshLimits learns the limits of a pool from one of its keepers, if that has not been done lately.
+// refreshLimits learns the limits of a pool from one of its keepers, at most once in exchangeInterval.
 func (c *Client) refreshLimits(now time.Time, p ratelimit.Pool) {
 	keepers := slices.DeleteFunc(c.keepers(now, p), func(name string) bool { return name == c.cfg.Self })
 	if len(keepers) == 0 {
