Log what the content of a failed request is

Conclusion: the lines of one request's attempts can be found across nodes; nothing is decided from it yet.

--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -371,9 +371,10 @@
 }
 
 // addCrashContext adds what relates failed attempts to the crash of a target: its run, how many more requests of this node
-// were there, and what the prompt is composed of.
+// were there, the content of the request and what its prompt is composed of.
 func (g *Gateway) addCrashContext(fields logrus.Fields, rs *requestState, t registry.Target) {
 	fields["started"] = t.StartedAt
+	fields["fingerprint"] = rs.Fingerprint(rs.team.Name)
 	fields["running"] = g.loads.running(t.ID)
 	if len(rs.Prompt.Parts) > 0 {
 		fields["parts"] = rs.Prompt.PartIDs()
