Keep pieces of stages from targets that crash under them

Cause: pieces were bounded by three calls each, and nothing related the pieces of a request's next attempt. Change: pieces carry the identity of their request's content to the dispatcher; a failed call whose target has crashed strikes the groups in it, by request and stage; from two crashes on a group shares no call with others, so that the next crash or result tells it from them (after one crash a whole call is suspect, and a call for each group would take longer than the crash). Requests whose pieces are in quarantine are rejected before any stage work, waiting groups of theirs end at once. What tells a crash from other breaks is in connection.CrashDetector, for the gateway and the dispatcher. TestPiecesBesideOneThatCrashesTargetsAreMade, TestSuspectPiecesGoAlone.

--- a/internal/fleet/quarantine/decision.go
+++ b/internal/fleet/quarantine/decision.go
@@ -11,8 +11,11 @@
 // Send decides that a request is sent as usual.
 type Send struct{}
 
-// SendAlone decides that a request is sent only while no other request with a trait is under way: a target has crashed under it.
-type SendAlone struct{ Trait Trait }
+// SendAlone decides that a request is sent only while no other request with a trait is under way: targets have crashed under it.
+type SendAlone struct {
+	Trait   Trait
+	Crashes int
+}
 
 // Reject decides that a request is kept from targets because of a verdict.
 type Reject struct {
@@ -36,8 +39,8 @@
 		}
 	}
 	for _, t := range slices.Backward(traits) {
-		if v.board.isAlone(now, t) {
-			return SendAlone{Trait: t}
+		if n := v.board.unknownCrashes(now, t); n > 0 {
+			return SendAlone{Trait: t, Crashes: n}
 		}
 	}
 	return Send{}
--- a/internal/fleet/quarantine/keeper.go
+++ b/internal/fleet/quarantine/keeper.go
@@ -148,8 +148,11 @@
 	})
 }
 
+// Trait returns the trait of a request as a whole.
+func (k *Keeper) Trait(r Request) Trait { return r.digest().contentTrait(r.Service, k.Key()) }
+
 // Name returns what a request is called in reports and logs.
-func (k *Keeper) Name(r Request) string { return r.digest().name(k.Key()) }
+func (k *Keeper) Name(r Request) string { return k.Trait(r).ID }
 
 // Decide returns the decision on a request. One that is rejected confirms the verdict.
 func (k *Keeper) Decide(now time.Time, r Request) Decision {
@@ -168,7 +171,7 @@
 
 // traits returns all traits of a request: the parts of its prompt, then its content.
 func (k *Keeper) traits(r Request) []Trait {
-	return append(r.partTraits(), r.digest().contentTrait(r.Service, k.Key()))
+	return append(r.partTraits(), k.Trait(r))
 }
 
 // IsSuspect reports whether a broken request is not sent again because of the parts of its prompt.
--- a/internal/fleet/quarantine/request.go
+++ b/internal/fleet/quarantine/request.go
@@ -100,14 +100,13 @@
 	return slices.ContainsFunc(list, func(x knownStrike) bool { return x.happened().Sub(at).Abs() < incidentWindow })
 }
 
-// isAlone reports whether a request is sent only while no other attempt of it is under way: a target has crashed under it, and it
-// was never answered.
-func (b Board) isAlone(now time.Time, t Trait) bool {
+// unknownCrashes returns the number of targets that crashed under a request which was not answered before.
+func (b Board) unknownCrashes(now time.Time, t Trait) int {
 	e, ok := b.traits[t]
 	if !ok || t.Kind != Content {
-		return false
+		return 0
 	}
-	return slices.ContainsFunc(e.open(now), func(s knownStrike) bool { return !s.Known })
+	return countUnknown(e.open(now))
 }
 
 // lastCrash returns when the last crash that counts against a trait happened, the zero time if none does.
--- a/internal/fleet/quarantine/trait.go
+++ b/internal/fleet/quarantine/trait.go
@@ -5,6 +5,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"hash/maphash"
 )
 
@@ -49,6 +50,17 @@
 // digest stands for some content. It can be guessed from what it stands for, so it is neither logged nor stored.
 type digest [sha256.Size]byte
 
+// Identity returns what identifies the request among nodes; it can be guessed from the content of the request.
+func (r Request) Identity() []byte {
+	d := r.digest()
+	return d[:]
+}
+
+// Pieces returns the pieces of one stage of a request with an identity as far as they may crash the stage's targets.
+func Pieces(service string, stage int, identity []byte) Request {
+	return Request{Service: service, Head: fmt.Sprint("stage ", stage), Body: identity}
+}
+
 func (r Request) digest() digest {
 	if len(r.Body) == 0 {
 		return digestOf([]byte(r.Head), nil, []byte(r.Prompt))
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -125,9 +125,11 @@
 		IsLost: n.permits.IsLost, Check: n.permits.Check,
 	})
 	n.permits.SetLocal(n.keeper)
+	crashes := connection.CrashDetector{Connections: n.cfg.Connections, Registry: n.view.registry.Load, Notices: n.notices}
 	n.dispatcher = dispatch.New(dispatch.Config{
 		Self: s.Name, Notices: n.notices, Permits: n.permits,
 		Targets: n.cfg.StageClient, Table: n.view.table.Load, Ready: n.view.tableLoaded, Registry: n.view.registry.Load, Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
+		Quarantine: n.view.crashes.keeper, CrashedRun: crashes.CrashedRun, TakeTrial: n.view.shared.takeTrial, PassTrial: n.view.shared.passTrial,
 		AllowRetry:      func(now time.Time, service string) bool { return n.gateway.AllowRetry(now, service) },
 		RecordFirstSend: func(now time.Time, service string) { n.gateway.RecordFirstSend(now, service) },
 	})
@@ -138,7 +140,7 @@
 	n.dispatchClient = dispatch.NewClient(dispatch.ClientConfig{Self: s.Name, Local: n.dispatcher, Registry: n.view.registry.Load, Notices: n.notices, Log: n.cfg.Log, Now: n.cfg.Now})
 	n.gateway = gateway.New(gateway.Config{
 		Self: s.Name, Datacentre: s.Datacentre, StartedAt: n.cfg.Now(), Headers: n.cfg.Headers, Connections: n.cfg.Connections, Dispatch: n.dispatchClient,
-		Table: n.view.table.Load, Registry: n.view.registry.Load, Notices: n.notices, Permits: n.permits, Quarantine: gateway.Quarantine{Keeper: n.view.crashes.keeper, TakeTrial: n.view.shared.takeTrial, PassTrial: n.view.shared.passTrial, ReportsRead: n.crashesKnown}, RetryBudget: s.RetryBudget, ColdLimit: s.ColdLimit,
+		Table: n.view.table.Load, Registry: n.view.registry.Load, Notices: n.notices, Permits: n.permits, Quarantine: gateway.Quarantine{Keeper: n.view.crashes.keeper, TakeTrial: n.view.shared.takeTrial, PassTrial: n.view.shared.passTrial, ReportsRead: n.crashesKnown}, CrashedRun: crashes.CrashedRun, RetryBudget: s.RetryBudget, ColdLimit: s.ColdLimit,
 		Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
 	})
 }
--- a/internal/serving/batch/group.go
+++ b/internal/serving/batch/group.go
@@ -16,6 +16,8 @@
 	Count      int
 	PieceKey   string
 	Inputs     []string
+	// Identity identifies the content of the request, whose other attempts have the same one.
+	Identity []byte
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int64
 	// Priority is 0 for the most urgent.
@@ -40,6 +42,8 @@
 	Index   int
 	// Attempts is the number of calls that the piece has been part of.
 	Attempts int
+	// Alone is set if the piece shares no call with those of other groups, since targets have crashed under it.
+	Alone bool
 }
 
 // Result is the outcome of one piece.
@@ -100,6 +104,8 @@
 	// Wait is the expected wait before the group's call would start, 0 if unknown.
 	Wait   time.Duration
 	Reason string
+	// Quarantined is set if targets crash under the pieces of the group.
+	Quarantined bool
 }
 
 // Error returns the reason and the expected wait.
--- a/internal/serving/batch/queue.go
+++ b/internal/serving/batch/queue.go
@@ -151,6 +151,8 @@
 // first, by priority and then by the time that is left. Late pieces only fill up the call, so that no time is spent on
 // them while others can still be on time.
 //
+// A piece under which targets have crashed goes with its own group only, so that the next crash, or result, tells it from others.
+//
 // Large results are costly to move: a piece that is best run in another data centre is left to a target there if one
 // is free soon enough, up to half of what the targets there can start next. targets summarises the targets of each data
 // centre.
@@ -165,7 +167,7 @@
 			kept = append(kept, p)
 			continue
 		}
-		if len(taken) < size && p.ResultBytes <= space {
+		if len(taken) < size && p.ResultBytes <= space && p.mayJoin(taken) {
 			taken = append(taken, p)
 			space -= p.ResultBytes
 			continue
@@ -176,6 +178,11 @@
 	return taken
 }
 
+// mayJoin reports whether a piece may be in one call with others.
+func (p Piece) mayJoin(taken []Piece) bool {
+	return len(taken) == 0 || p.GroupID == taken[0].GroupID || !p.Alone && !taken[0].Alone
+}
+
 // datacentreTargets summarises the targets of one data centre: their number, and when the next of them is free.
 type datacentreTargets struct {
 	count  int
--- a/internal/serving/batch/queue_test.go
+++ b/internal/serving/batch/queue_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -143,3 +144,23 @@
 		t.Errorf("got %d pieces left, want %d", got, want)
 	}
 }
+
+// TestSuspectPiecesGoAlone covers pieces under which targets have crashed among others.
+func TestSuspectPiecesGoAlone(t *testing.T) {
+	now := time.Now()
+	piece := func(id uint64, urgency time.Duration, alone bool) Piece {
+		g := &Group{StartByObjective: now.Add(urgency), StartByDeadline: now.Add(time.Minute)}
+		return Piece{Group: g, GroupID: id, Alone: alone}
+	}
+	var q Queue
+	q.Add(piece(1, 3*time.Second, false), piece(2, 2*time.Second, true), piece(3, time.Second, false), piece(2, 2*time.Second, true), piece(4, 4*time.Second, false))
+	for _, want := range [][]uint64{{3, 1, 4}, {2, 2}} {
+		var got []uint64
+		for _, p := range q.Take(now, 10, 1000, "", nil) {
+			got = append(got, p.GroupID)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("got a call with the groups %v, want %v", got, want)
+		}
+	}
+}
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/quarantine"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 )
@@ -67,6 +68,8 @@
 	RecordRejectedGroup(service, reason string)
 	// SetQueuedPieces sets the number of queued pieces.
 	SetQueuedPieces(service string, pieces int)
+	// CountCrash counts a crash of a target of a service under a call, by how far its response had come.
+	CountCrash(service, progress string)
 }
 
 // Config holds the dependencies of a Dispatcher.
@@ -78,11 +81,18 @@
 	Registry func() *registry.Registry
 	Notices  *notice.Keeper
 	// Self is the name of this node.
-	Self    string
-	Permits Permits
-	Log     logrus.FieldLogger
-	Now     func() time.Time
-	Meter   Meter
+	Self       string
+	Permits    Permits
+	Log        logrus.FieldLogger
+	Now        func() time.Time
+	Meter      Meter
+	Quarantine *quarantine.Keeper
+	// CrashedRun returns the run of a target that has crashed, and false if it has not.
+	CrashedRun func(ctx context.Context, t registry.Target) (notice.Target, bool)
+	// TakeTrial reports whether this node may send pieces in quarantine to a target for the fleet; PassTrial is called when they
+	// were made.
+	TakeTrial func(context.Context, quarantine.Trait) bool
+	PassTrial func(quarantine.Trait)
 	// AllowRetry asks the retry budget of the service for one more send of a piece.
 	AllowRetry func(now time.Time, service string) bool
 	// RecordFirstSend counts the first send of a piece.
@@ -149,7 +159,9 @@
 // group is the state of a group that has pieces without an outcome.
 type group struct {
 	batch.Group
-	id      uint64
+	id uint64
+	// isTrial is set if the group is in quarantine and tried once.
+	isTrial bool
 	results []batch.Result
 	pieces  []pieceProgress
 	// unfinished counts the pieces without an outcome; finished is closed when it reaches 0.
@@ -182,6 +194,11 @@
 
 // Produce queues a group and waits for its results.
 func (d *Dispatcher) Produce(ctx context.Context, g batch.Group, cb Callbacks) ([]batch.Result, error) {
+	cleared, err := d.clear(ctx, g)
+	if err != nil {
+		d.recordRejected(d.cfg.Now(), g, "refused", err)
+		return nil, err
+	}
 	now := d.cfg.Now()
 	d.mu.Lock()
 	s := d.scheduler(g.Service, g.Datacentre)
@@ -192,10 +209,10 @@
 		return nil, err
 	}
 	d.lastGroupID++
-	x := &group{Group: g, id: d.lastGroupID, results: make([]batch.Result, g.Count), pieces: make([]pieceProgress, g.Count), unfinished: g.Count, finished: make(chan struct{}), unfetched: g.Count, inputsFetched: make(chan struct{})}
+	x := &group{Group: g, id: d.lastGroupID, isTrial: cleared.isTrial, results: make([]batch.Result, g.Count), pieces: make([]pieceProgress, g.Count), unfinished: g.Count, finished: make(chan struct{}), unfetched: g.Count, inputsFetched: make(chan struct{})}
 	d.groups[x.id] = x
 	for i := range g.Count {
-		s.Add(batch.Piece{Group: &x.Group, GroupID: x.id, Index: i})
+		s.Add(batch.Piece{Group: &x.Group, GroupID: x.id, Index: i, Alone: cleared.isAlone})
 	}
 	d.startCalls(now, s, profile)
 	d.mu.Unlock()
@@ -312,6 +329,7 @@
 // startCalls expires late groups and starts every call that can start; the lock is held.
 func (d *Dispatcher) startCalls(now time.Time, s *shardScheduler, profile route.BatchProfile) {
 	d.expireLate(now, s, profile)
+	d.dropQuarantined(now, s)
 	s.StartRound()
 	defer d.claimTargets(now, s)
 	for {
--- a/internal/wire/dispatch/dispatcher_test.go
+++ b/internal/wire/dispatch/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/quarantine"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 )
@@ -93,6 +95,9 @@
 	close(ready)
 	return New(Config{
 		Targets: f, Table: func() *route.Table { return table }, Ready: ready, Registry: func() *registry.Registry { return r }, Notices: newTestKeeper(), Log: log, Meter: noMeter{}, Now: time.Now,
+		Quarantine: quarantine.NewKeeper(quarantine.KeeperConfig{Node: "n-1", OnReport: func(quarantine.Urgency) {}, OnEvidence: func() {}}),
+		CrashedRun: func(context.Context, registry.Target) (notice.Target, bool) { return notice.Target{}, false },
+		TakeTrial:  func(context.Context, quarantine.Trait) bool { return false }, PassTrial: func(quarantine.Trait) {},
 		AllowRetry: func(time.Time, string) bool { return true }, RecordFirstSend: func(time.Time, string) {},
 	})
 }
@@ -108,6 +113,7 @@
 func (noMeter) RecordStageCall(string, string, int, int, time.Duration) {}
 func (noMeter) RecordRejectedGroup(string, string)                      {}
 func (noMeter) SetQueuedPieces(string, int)                             {}
+func (noMeter) CountCrash(string, string)                               {}
 
 func target(id, datacentre string) registry.Target {
 	return registry.Target{ID: id, Service: "s", Address: id + ":1", Datacentre: datacentre, State: registry.Ready}
@@ -382,6 +388,59 @@
 	}
 }
 
+// TestPiecesBesideOneThatCrashesTargetsAreMade covers a call whose target crashes under one of its pieces, and the next attempt of that
+// piece's request.
+func TestPiecesBesideOneThatCrashesTargetsAreMade(t *testing.T) {
+	f := &fakeTargets{}
+	f.run = func(_ int, _ registry.Target, pieces []batch.Piece) ([]batch.Result, error) {
+		if slices.ContainsFunc(pieces, func(p batch.Piece) bool { return p.PieceKey == "bad" }) {
+			return nil, errors.New("connection reset")
+		}
+		return nil, nil
+	}
+	d := newTestDispatcher(f, target("t-0", "a"), target("t-1", "a"), target("t-2", "a"), target("t-3", "a"))
+	crashes := 0
+	d.cfg.CrashedRun = func(context.Context, registry.Target) (notice.Target, bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		crashes++
+		return notice.Target{ID: fmt.Sprint("run-", crashes)}, true
+	}
+	produce := func(key string) ([]batch.Result, error) {
+		g := testGroup(key, 1, 10)
+		g.PieceKey, g.Identity = key, []byte(key)
+		return d.Produce(t.Context(), g, Callbacks{OnQueued: func(time.Duration) {}, OnInputsFetched: func() {}})
+	}
+	// All targets are busy when the pieces come, so that the next call has them together.
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() { _, _ = produce(fmt.Sprint("busy", i)) })
+	}
+	time.Sleep(20 * time.Millisecond)
+	results := make([][]batch.Result, 4)
+	for i, key := range []string{"bad", "sound1", "sound2", "sound3"} {
+		wg.Go(func() { results[i], _ = produce(key) })
+	}
+	wg.Wait()
+	for i, r := range results {
+		want := batch.Completed
+		if i == 0 {
+			want = batch.Failed
+		}
+		if len(r) != 1 || r[0].Reason != want {
+			t.Errorf("got results %v for group %d, want one with reason %q", r, i, want)
+		}
+	}
+	if crashes > maxAttempts {
+		t.Errorf("got %d crashes, want at most %d", crashes, maxAttempts)
+	}
+	before := crashes
+	var rejected *batch.RejectedError
+	if _, err := produce("bad"); !errors.As(err, &rejected) || !rejected.Quarantined || crashes != before {
+		t.Errorf("got error %v with %d more crashes for the next attempt, want it rejected", err, crashes-before)
+	}
+}
+
 // TestPieceThatCrashesTargetsIsGivenUp covers a piece under which every target breaks off: it ends no more than maxAttempts.
 func TestPieceThatCrashesTargetsIsGivenUp(t *testing.T) {
 	f := &fakeTargets{}
--- a/internal/wire/dispatch/server.go
+++ b/internal/wire/dispatch/server.go
@@ -99,7 +99,7 @@
 func toMessage(now time.Time, g batch.Group) *deskpb.Group {
 	return &deskpb.Group{
 		Service: g.Service, Shard: g.Datacentre, Request: g.Request, Stage: int32(g.Stage), Count: int32(g.Count), Key: g.PieceKey,
-		Inputs: g.Inputs, Bytes: g.ResultBytes, Priority: int32(g.Priority), Home: g.PreferredDatacentre, Weight: g.TransferBytes,
+		Inputs: g.Inputs, Identity: g.Identity, Bytes: g.ResultBytes, Priority: int32(g.Priority), Home: g.PreferredDatacentre, Weight: g.TransferBytes,
 		PromptUs: g.StartByObjective.Sub(now).Microseconds(), LastUs: g.StartByDeadline.Sub(now).Microseconds(), StayUs: g.PreferUntil.Sub(now).Microseconds(),
 	}
 }
@@ -107,7 +107,7 @@
 func fromMessage(now time.Time, m *deskpb.Group) batch.Group {
 	return batch.Group{
 		Service: m.Service, Datacentre: m.Shard, Request: m.Request, Stage: int(m.Stage), Count: int(m.Count), PieceKey: m.Key,
-		Inputs: m.Inputs, ResultBytes: m.Bytes, Priority: int(m.Priority), PreferredDatacentre: m.Home, TransferBytes: m.Weight,
+		Inputs: m.Inputs, Identity: m.Identity, ResultBytes: m.Bytes, Priority: int(m.Priority), PreferredDatacentre: m.Home, TransferBytes: m.Weight,
 		StartByObjective: now.Add(time.Duration(m.PromptUs) * time.Microsecond), StartByDeadline: now.Add(time.Duration(m.LastUs) * time.Microsecond), PreferUntil: now.Add(time.Duration(m.StayUs) * time.Microsecond),
 	}
 }
--- a/internal/wire/dispatch/settle.go
+++ b/internal/wire/dispatch/settle.go
@@ -17,6 +17,9 @@
 	overdue := time.AfterFunc(time.Duration(overdueFactor*float64(c.Expected))+overdueExtra, func() { d.retryOverdue(s, c, profile) })
 	reply, err := d.cfg.Targets.RunBatch(ctx, c.Started, c.Target, c.Pieces, d.recorder(c.Target.Run()))
 	overdue.Stop()
+	if err != nil {
+		d.recordCrash(c)
+	}
 	now := d.cfg.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -30,6 +33,7 @@
 		d.settleFailed(now, s, c, err)
 	} else {
 		full := c.Complete(now, profile, reply)
+		d.recordMade(now, c, reply)
 		d.recordEnded(now, s, c, profile, reply)
 		for i, p := range c.Pieces {
 			d.settle(now, s, c, p, reply.Results[i])
@@ -84,7 +88,7 @@
 
 // retry queues a piece again if its attempts, its start by deadline and the retry budget allow it.
 func (d *Dispatcher) retry(now time.Time, s *shardScheduler, p batch.Piece) bool {
-	if p.Attempts+1 >= maxAttempts || now.After(p.StartByDeadline) || !d.cfg.AllowRetry(now, s.service) {
+	if p.Attempts+1 >= maxAttempts || now.After(p.StartByDeadline) || d.isKept(now, &p) || !d.cfg.AllowRetry(now, s.service) {
 		return false
 	}
 	p.Attempts++
@@ -152,12 +156,12 @@
 		if g := d.groups[p.GroupID]; g != nil {
 			d.recordRejected(now, g.Group, "late", nil)
 		}
-		d.expireGroup(s, p.GroupID)
+		d.endGroup(s, p.GroupID, batch.Late)
 	}
 }
 
-// expireGroup ends a group at once if one of its pieces cannot run in time: the others alone are of no use.
-func (d *Dispatcher) expireGroup(s *shardScheduler, id uint64) {
+// endGroup ends a group at once if one of its pieces cannot run: the others alone are of no use.
+func (d *Dispatcher) endGroup(s *shardScheduler, id uint64, reason batch.Reason) {
 	g := d.groups[id]
 	if g == nil {
 		return
@@ -165,7 +169,7 @@
 	s.RemoveGroup(id)
 	for i := range g.pieces {
 		if !g.pieces[i].done {
-			d.finish(g, i, batch.Result{Reason: batch.Late})
+			d.finish(g, i, batch.Result{Reason: reason})
 		}
 	}
 }
--- a/internal/wire/gateway/crash.go
+++ b/internal/wire/gateway/crash.go
@@ -9,7 +9,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/quarantine"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 )
@@ -85,11 +84,17 @@
 	}
 }
 
-// checkQuarantine returns the outcome of a request that is in quarantine, nil for any other. A trial that is due is not taken.
+// checkQuarantine returns the outcome of a request that is in quarantine itself, or whose pieces are; nil for any other. A trial that
+// is due is not taken.
 func (g *Gateway) checkQuarantine(now time.Time, rs *requestState) *outcome {
 	if r, ok := g.cfg.Quarantine.Decide(now, rs.suspect).(quarantine.Reject); ok && !r.MayTry {
 		return g.quarantined(rs, r.Verdict)
 	}
+	for i, s := range rs.route.Stages {
+		if r, ok := g.cfg.Quarantine.Decide(now, quarantine.Pieces(s.Service, i, rs.identity)).(quarantine.Reject); ok && !r.MayTry {
+			return g.quarantined(rs, r.Verdict)
+		}
+	}
 	return nil
 }
 
@@ -173,7 +178,7 @@
 	if at == notBroken {
 		return false
 	}
-	run, ok := g.crashedRun(ctx, t)
+	run, ok := g.cfg.CrashedRun(ctx, t)
 	if !ok {
 		return false
 	}
@@ -183,13 +188,3 @@
 	g.cfg.Quarantine.RecordCrash(now, run, rs.suspect, at == brokenBegun)
 	return (at == brokenBegun && !g.cfg.Quarantine.AreKnown(rs.suspect)) || g.cfg.Quarantine.IsSuspect(now, rs.suspect)
 }
-
-// crashedRun returns the run of a target that is ready by all accounts and refuses connections, and false if there is none. Cut
-// links, lost VMs and truncated answers look different. The target may have started again since the request was sent.
-func (g *Gateway) crashedRun(ctx context.Context, t registry.Target) (notice.Target, bool) {
-	current, ok := g.cfg.Registry().Target(t.ID)
-	if !ok || current.State != registry.Ready || g.cfg.Notices.Board().Leaving(current.Run()) {
-		return notice.Target{}, false
-	}
-	return current.Run(), g.cfg.Connections.IsRefused(ctx, current.Address)
-}
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -348,7 +348,7 @@
 	rw.onStart = func() { g.releaseResults(rs) }
 	rw.onHeld = func(h eventstream.Held) { g.cfg.Meter.CountHeldEvent(rs.service.Name, string(h.Verdict)) }
 	rw.hasCrashed = func() bool {
-		_, ok := g.crashedRun(ctx, t)
+		_, ok := g.cfg.CrashedRun(ctx, t)
 		return ok
 	}
 	flags := g.cfg.Headers.ParseResponseFlags(rs.ID, resp.Status, resp.Header)
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -79,6 +79,8 @@
 	Notices     *notice.Keeper
 	Permits     *permit.Client
 	Quarantine  Quarantine
+	// CrashedRun returns the run of a target that has crashed, and false if it has not.
+	CrashedRun  func(context.Context, registry.Target) (notice.Target, bool)
 	RetryBudget settings.RetryBudget
 	ColdLimit   settings.ColdLimit
 	Log         logrus.FieldLogger
@@ -150,8 +152,9 @@
 	route   route.Route
 	service route.Service
 	team    route.Team
-	// suspect is the request as far as it may crash targets.
-	suspect quarantine.Request
+	// suspect is the request as far as it may crash targets, identity identifies its content.
+	suspect  quarantine.Request
+	identity []byte
 	// objective is when a response is wanted, firstByteBy when it must have begun, and deadline when it must be
 	// complete.
 	objective   time.Time
@@ -261,6 +264,9 @@
 		return refusal(causeUnready, "service is not configured", shortRetry)
 	}
 	rs.suspect = rs.suspectOf()
+	if len(rs.route.Stages) > 0 {
+		rs.identity = rs.suspect.Identity()
+	}
 	if out := g.checkQuarantine(rs.Received, rs); out != nil {
 		return out
 	}
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -127,7 +127,7 @@
 func (g *Gateway) runStage(ctx context.Context, rs *requestState, sr *stageRun, i int) error {
 	s := rs.route.Stages[i]
 	group := batch.Group{
-		Service: s.Service, Request: rs.ID, Stage: i,
+		Service: s.Service, Request: rs.ID, Stage: i, Identity: rs.identity,
 		ResultBytes: s.ResultBytes, Priority: rs.priority(), StartByObjective: rs.objective.Add(-sr.remainingTimes[i]), StartByDeadline: rs.firstByteBy.Add(-sr.remainingTimes[i]),
 	}
 	if i < len(rs.PieceCounts) {
@@ -211,6 +211,8 @@
 	var refusedErr *batch.RejectedError
 	var stageErr *stageError
 	switch {
+	case errors.As(err, &refusedErr) && refusedErr.Quarantined:
+		return refusal(causeQuarantined, refusedErr.Reason, quarantineRetry)
 	case errors.As(err, &refusedErr):
 		return refusal(causeOverloaded, refusedErr.Error(), schedule.RetryAfterRejected(g.cfg.Now(), refusedErr.Wait, rs.firstByteBy))
 	case errors.As(err, &stageErr):
