Take two crashes for proof only if the request was alone at a target

Change: two crashes are enough only if no other request was at one of the two targets; three otherwise. Conclusion: the victims of a series of losses go on; the culprit costs one target more where others were at both.

--- a/internal/fleet/quarantine/request.go
+++ b/internal/fleet/quarantine/request.go
@@ -3,11 +3,13 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 )
 
 const (
 	// A request that was never answered is quarantined after clearCrashes crashes of targets that ran it, or after soleCrashes if
-	// nothing else can explain them. One that was answered before is quarantined after doubtfulIncidents incidents.
+	// nothing else was at one of the targets. One that was answered before is quarantined after doubtfulIncidents incidents.
 	clearCrashes = 3
 	soleCrashes  = 2
 )
@@ -64,8 +66,8 @@
 	return n
 }
 
-// isSole reports whether nothing but one request has the crashes that struck it in common: no other request was at two of the
-// targets, and no other target was lost at about the same time.
+// isSole reports whether nothing but one request has the crashes that struck it in common: it was alone at one of the targets, no
+// other request was at two of them, and no other target was lost at about the same time.
 func (b Board) isSole(c candidate, suspects []candidate) bool {
 	for _, other := range suspects {
 		if other.trait.Service != c.trait.Service || other.trait == c.trait {
@@ -81,17 +83,21 @@
 			return false
 		}
 	}
+	shared := map[notice.Target]bool{}
 	for t, e := range b.traits {
-		if t.Service != c.trait.Service {
+		if t.Service != c.trait.Service || t == c.trait {
 			continue
 		}
 		for _, s := range e.strikes {
-			if !c.hasRun(s.Run) && isNear(s, c.strikes) {
+			switch {
+			case c.hasRun(s.Run):
+				shared[s.Run] = shared[s.Run] || t.Kind == Content
+			case isNear(s, c.strikes):
 				return false
 			}
 		}
 	}
-	return true
+	return slices.ContainsFunc(c.strikes, func(s knownStrike) bool { return !shared[s.Run] })
 }
 
 // isNear reports whether a crash happened within incidentWindow of one in a list.
--- a/internal/fleet/quarantine/request_test.go
+++ b/internal/fleet/quarantine/request_test.go
@@ -52,7 +52,8 @@
 	}{
 		{name: "one crash", crashes: []crash{{requests: []string{"bad", "v1"}}}, alone: []string{"bad", "v1"}, sent: []string{"v2"}},
 		{name: "two crashes, nothing else there", crashes: []crash{{requests: []string{"bad"}}, {at: 60 * ms, requests: []string{"bad"}}}, rejected: []string{"bad"}},
-		{name: "two crashes with other requests each", crashes: []crash{{requests: []string{"bad", "v1"}}, {at: 60 * ms, requests: []string{"bad", "v2"}}}, rejected: []string{"bad"}, alone: []string{"v1", "v2"}},
+		{name: "two crashes with another request at one", crashes: []crash{{requests: []string{"bad", "v1"}}, {at: 60 * ms, requests: []string{"bad"}}}, rejected: []string{"bad"}, alone: []string{"v1"}},
+		{name: "two crashes with other requests each", crashes: []crash{{requests: []string{"bad", "v1"}}, {at: 60 * ms, requests: []string{"bad", "v2"}}}, alone: []string{"bad", "v1", "v2"}},
 		{name: "two crashes with the same two requests", crashes: []crash{{requests: []string{"bad", "v1"}}, {at: 60 * ms, requests: []string{"bad", "v1"}}}, alone: []string{"bad", "v1"}},
 		{
 			name:     "three crashes in a quarter of a second",
