--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -32,6 +32,8 @@
 	balancerLag = 2500 * time.Millisecond
 	// closeReserve is the end of the grace period that is reserved for closing what still runs and writing the log.
 	closeReserve = 300 * time.Millisecond
+	// loggedRequests bounds the requests that one line of the log names.
+	loggedRequests = 20
 	// registerRetry is the delay before another attempt to write the node's entry.
 	registerRetry = time.Second
 	// deregisterTimeout bounds the removal of the node's entry.
@@ -374,10 +376,13 @@
 	go n.deregister()
 	n.view.broadcaster.Close()
 	time.Sleep(min(balancerLag, grace/2))
+	conns := n.callerListener.Connections()
+	n.cfg.Log.WithFields(logrus.Fields{"new": conns.New, "active": conns.Active, "left_ms": (grace - n.cfg.Now().Sub(started)).Milliseconds()}).Info("node: no longer listens")
 	ctx, cancel := context.WithTimeout(context.Background(), grace-n.cfg.Now().Sub(started))
 	defer cancel()
 	if err := n.callerListener.Drain(ctx); err != nil {
-		n.cfg.Log.WithError(err).Warn("node: requests were still running at the end of the grace period")
+		running := n.gateway.Running()
+		n.cfg.Log.WithError(err).WithFields(logrus.Fields{"running": len(running), "requests": running[:min(len(running), loggedRequests)]}).Warn("node: requests were still running at the end of the grace period")
 		_ = n.callerServer.Close()
 	}
 	n.Kill()
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -104,19 +103,13 @@
 	lastClaim       uint64
 	draining        bool
 	drainDeadline   time.Time
+	// running are the requests that are being served.
+	running map[*requestState]bool
 }
 
 // New returns a gateway.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg, loads: newLoads(), retryWindows: map[string]*budget.RetryWindow{}, longestTimeouts: map[string]time.Duration{}, firstByteTimes: map[string]time.Duration{}, meanSizes: map[string]float64{}}
-}
-
-// Drain makes the gateway refuse streams that could not end before a planned stop does.
-func (g *Gateway) Drain(now time.Time, grace time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.draining = true
-	g.drainDeadline = now.Add(grace)
+	return &Gateway{cfg: cfg, loads: newLoads(), retryWindows: map[string]*budget.RetryWindow{}, longestTimeouts: map[string]time.Duration{}, firstByteTimes: map[string]time.Duration{}, meanSizes: map[string]float64{}, running: map[*requestState]bool{}}
 }
 
 func (g *Gateway) retryLimits() budget.RetryLimits {
@@ -199,11 +192,13 @@
 	now := g.cfg.Now()
 	rs := &requestState{Call: g.cfg.Headers.ParseRequest(now, r), table: g.cfg.Table(), sentTo: map[string]bool{}, log: logrus.Fields{}}
 	rs.claimID = g.newClaimID()
+	g.begin(r, rs)
 	out := g.admit(w, r, rs)
 	if out == nil {
 		out = g.serve(w, r, rs)
 	}
 	out.write(w)
+	g.end(rs, out)
 	g.recordOutcome(rs, out)
 	if out.abort {
 		abort(r)
@@ -225,22 +220,6 @@
 	}
 }
 
-type connKey struct{}
-
-// ConnContext makes a caller's connection known to the gateway; it is for http.Server.ConnContext.
-func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// abort ends a response so that it does not look complete. An HTTP/1.0 caller gets no chunks, so its connection is reset.
-func abort(r *http.Request) {
-	if tcp, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
-		// An error means that the connection is closed already.
-		_ = tcp.SetLinger(0)
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // admit checks a request against the current configuration and reads its body. It returns nil to admit the request.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, rs *requestState) *outcome {
 	if rs.table == nil {
@@ -336,17 +315,6 @@
 	streamWaitGaps       = 8
 )
 
-// outlastsDrain reports whether a request would still run when a planned stop ends.
-func (g *Gateway) outlastsDrain(rs *requestState) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.draining && rs.route.RetryPolicy == route.Streaming && rs.Received.Add(rs.route.Timeout).After(g.drainDeadline) &&
-		g.drainDeadline.Sub(rs.Received) < streamCutoff
-}
-
-// streamCutoff is how long before the end of a planned stop the gateway stops accepting streams.
-const streamCutoff = 4 * time.Second
-
 // serve runs the stages of a request and sends it to a target.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, rs *requestState) *outcome {
 	ctx, cancel := context.WithDeadline(r.Context(), rs.deadline)
--- a/internal/wire/transport/drain.go
+++ b/internal/wire/transport/drain.go
@@ -80,6 +80,19 @@
 	}
 }
 
+// Connections are the numbers of a listener's connections by what they do.
+type Connections struct {
+	// New have not brought a request yet, Active wait for a response. Idle connections are not counted here.
+	New, Active int
+}
+
+// Connections returns how many connections bring their first request or wait for a response.
+func (l *Listener) Connections() Connections {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Connections{New: len(l.opened), Active: len(l.active)}
+}
+
 // isBusy reports whether a request is being answered, or may be on its way on a new connection.
 func (l *Listener) isBusy(now time.Time) bool {
 	l.mu.Lock()
