End connections with responses that begin during a stop

Cause: whether a response ends its connection was decided when its request was read, so callers whose requests were under way when a stop began kept their connections and sent the next request to a node that is leaving. Change: it is decided when the response begins. Result: TestResponseThatBeginsDuringStopEndsItsConnection fails before (both cases: connection stays open), passes after.

--- a/internal/wire/transport/drain.go
+++ b/internal/wire/transport/drain.go
@@ -46,14 +46,51 @@
 	s.ConnState = t.record
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if t.closing.Load() {
+		dw := &drainWriter{ResponseWriter: w, closing: &t.closing}
+		handler.ServeHTTP(dw, r)
+		if !dw.isBegun && t.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		handler.ServeHTTP(w, r)
 	})
 	return t
 }
 
+// drainWriter ends the connection with its response if the server drains when the response begins.
+type drainWriter struct {
+	http.ResponseWriter
+	closing *atomic.Bool
+	isBegun bool
+}
+
+// Unwrap returns the server's writer, for http.ResponseController.
+func (w *drainWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader begins the response.
+func (w *drainWriter) WriteHeader(status int) {
+	w.isBegun = w.isBegun || status >= http.StatusOK
+	if w.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body, after the header.
+func (w *drainWriter) Write(data []byte) (int, error) {
+	if !w.isBegun {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(data)
+}
+
+// Flush sends what has been written.
+func (w *drainWriter) Flush() {
+	if !w.isBegun {
+		w.WriteHeader(http.StatusOK)
+	}
+	// A caller that is gone needs nothing.
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
+
 // EndKeepAlives makes each connection end with the response to its next request. Idle connections stay open: their callers may
 // just be sending.
 func (l *Listener) EndKeepAlives() { l.closing.Store(true) }
--- a/internal/wire/transport/drain_test.go
+++ b/internal/wire/transport/drain_test.go
@@ -154,3 +154,37 @@
 		t.Errorf("got error %v, want a server that has drained", err)
 	}
 }
+
+// TestResponseThatBeginsDuringStopEndsItsConnection covers a request that is read before a stop and answered after it has begun.
+func TestResponseThatBeginsDuringStopEndsItsConnection(t *testing.T) {
+	for _, explicit := range []bool{true, false} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, release := make(chan struct{}), make(chan struct{})
+		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(read)
+			<-release
+			if explicit {
+				w.WriteHeader(http.StatusAccepted)
+			}
+		})}
+		server := NewListener(l, s, time.Now)
+		go func() { _ = s.Serve(server) }()
+		defer s.Close()
+		go func() {
+			<-read
+			server.EndKeepAlives()
+			close(release)
+		}()
+		resp, err := http.Get("http://" + l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if !resp.Close {
+			t.Errorf("got a connection that stays open (status written: %v), want it to end", explicit)
+		}
+	}
+}
