Accept during a planned stop only what ends before it does

Callers saw: a connection that ended without a complete response, for requests that came more than 3 s after SIGTERM on open connections. Cause: a stopping node checked streams against a fixed 4 s before its end, which says nothing of how long they last, and other requests against nothing: they were sent to targets until the last millisecond. Class: work is accepted that cannot be finished. Change: serving/shutdown decides from the plan of the stop, the time and what is known of a request: its deadline, and how long requests of its route took lately, for streams by the tokens asked for. Targets are told the shorter time. The reserve for closing and the listening time follow the grace period, and the time for which a VM was suspended is taken off.

--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -27,13 +27,6 @@
 )
 
 const (
-	// balancerLag is how long the load balancer may keep sending connections to a node that is not ready: two readiness
-	// checks one second apart, plus the network delay.
-	balancerLag = 2500 * time.Millisecond
-	// closeReserve is the end of the grace period that is reserved for closing what still runs and writing the log.
-	closeReserve = 300 * time.Millisecond
-	// loggedRequests bounds the requests that one line of the log names.
-	loggedRequests = 20
 	// registerRetry is the delay before another attempt to write the node's entry.
 	registerRetry = time.Second
 	// deregisterTimeout bounds the removal of the node's entry.
@@ -363,32 +356,6 @@
 	}
 }
 
-// Stop drains and stops the node: it becomes not ready, keeps serving until the load balancer has stopped using it, and
-// lets running requests finish within the grace period.
-func (n *Node) Stop() {
-	started := n.cfg.Now()
-	grace := n.cfg.Settings.GracePeriod - closeReserve
-	n.cfg.Log.WithField("grace_ms", grace.Milliseconds()).Info("node: stopping")
-	n.draining.Store(true)
-	n.gateway.Drain(started, grace)
-	n.callerListener.EndKeepAlives()
-	n.dispatcher.Drain()
-	go n.deregister()
-	n.view.broadcaster.Close()
-	time.Sleep(min(balancerLag, grace/2))
-	conns := n.callerListener.Connections()
-	n.cfg.Log.WithFields(logrus.Fields{"new": conns.New, "active": conns.Active, "left_ms": (grace - n.cfg.Now().Sub(started)).Milliseconds()}).Info("node: no longer listens")
-	ctx, cancel := context.WithTimeout(context.Background(), grace-n.cfg.Now().Sub(started))
-	defer cancel()
-	if err := n.callerListener.Drain(ctx); err != nil {
-		running := n.gateway.Running()
-		n.cfg.Log.WithError(err).WithFields(logrus.Fields{"running": len(running), "requests": running[:min(len(running), loggedRequests)]}).Warn("node: requests were still running at the end of the grace period")
-		_ = n.callerServer.Close()
-	}
-	n.Kill()
-	n.cfg.Log.WithField("ms", n.cfg.Now().Sub(started).Milliseconds()).Info("node: stopped")
-}
-
 // Kill stops the node abruptly, as a crash would.
 func (n *Node) Kill() {
 	n.cancel()
--- /dev/null
+++ b/internal/serving/shutdown/doc.go
@@ -0,0 +1,2 @@
+// Package shutdown decides what a node still serves during a planned stop.
+package shutdown
--- /dev/null
+++ b/internal/serving/shutdown/plan.go
@@ -0,0 +1,118 @@
+package shutdown
+
+import "time"
+
+const (
+	// reserveShare is the part of the grace period that is reserved twice: between the last response that the node makes up
+	// itself and the end of its connections, and between that and the end of the grace period.
+	reserveShare = 1.0 / 32
+	// minReserve and maxReserve bound that reserve: answering and closing everything takes about as long for any grace period.
+	minReserve = 60 * time.Millisecond
+	maxReserve = 500 * time.Millisecond
+	// lagShare bounds the part of the grace period in which the load balancer is waited for.
+	lagShare = 0.5
+)
+
+// Plan is the course of one planned stop.
+type Plan struct {
+	// BeganAt is when the stop began, LagEndsAt until when the load balancer may send new connections.
+	BeganAt   time.Time
+	LagEndsAt time.Time
+	// AnswerBy is when the node answers what no target has answered, EndsAt when it closes what is still open.
+	AnswerBy time.Time
+	EndsAt   time.Time
+	// KilledAt is the end of the grace period.
+	KilledAt time.Time
+}
+
+// NewPlan returns the plan of a stop whose process is killed after a grace period; lag is that of the load balancer.
+func NewPlan(began time.Time, grace, lag time.Duration) Plan {
+	reserve := min(max(time.Duration(reserveShare*float64(grace)), minReserve), maxReserve, grace/4)
+	return Plan{
+		BeganAt:   began,
+		LagEndsAt: began.Add(min(lag, time.Duration(lagShare*float64(grace)))),
+		AnswerBy:  began.Add(grace - 2*reserve),
+		EndsAt:    began.Add(grace - reserve),
+		KilledAt:  began.Add(grace),
+	}
+}
+
+// WithLost returns the plan after the VM was suspended for a time that its steady clock does not count.
+func (p Plan) WithLost(lost time.Duration) Plan {
+	p.LagEndsAt, p.AnswerBy = p.LagEndsAt.Add(-lost), p.AnswerBy.Add(-lost)
+	p.EndsAt, p.KilledAt = p.EndsAt.Add(-lost), p.KilledAt.Add(-lost)
+	return p
+}
+
+// Work is what is known of a request that needs more time.
+type Work struct {
+	// Deadline is when the request ends at the latest, by its caller's timeout or its route's.
+	Deadline time.Time
+	// Expected is how long the request is expected to take from now on; HasExpected is false if nothing is known.
+	Expected    time.Duration
+	HasExpected bool
+}
+
+// Verdict is what becomes of a request that comes during a planned stop.
+type Verdict string
+
+const (
+	// Accept means that the request ends in time whatever happens.
+	Accept Verdict = "accept"
+	// AcceptBounded means that the request is expected to end in time, and is given no more than that.
+	AcceptBounded Verdict = "bounded"
+	// Reject means that the request may not end in time.
+	Reject Verdict = "reject"
+)
+
+const (
+	// safetyFactor and safetyMargin are applied to the time that a request is expected to take: targets slow down under the load of
+	// the nodes that are stopped.
+	safetyFactor = 1.25
+	safetyMargin = 100 * time.Millisecond
+)
+
+// Admit decides on a request that comes now.
+//
+// While the load balancer still sends new connections, callers that are rejected may come back to this node. Until then a request
+// is accepted if it ends in time by what is expected, later only if there is time to spare.
+func (p Plan) Admit(now time.Time, w Work) Verdict {
+	if !w.Deadline.After(p.AnswerBy) {
+		return Accept
+	}
+	if !w.HasExpected {
+		return Reject
+	}
+	expected := w.Expected
+	if !now.Before(p.LagEndsAt) {
+		expected = time.Duration(safetyFactor*float64(expected)) + safetyMargin
+	}
+	if now.Add(expected).After(p.AnswerBy) {
+		return Reject
+	}
+	return AcceptBounded
+}
+
+// Stage is how far a request has come.
+type Stage string
+
+const (
+	// Waiting requests wait in this node: for their body, a stage, a target or a permit.
+	Waiting Stage = "waiting"
+	// Sent requests are at a target, and nothing of its response has been passed on.
+	Sent Stage = "sent"
+	// Begun responses have been passed on in part.
+	Begun Stage = "begun"
+)
+
+// MustEnd reports whether a request has to be ended now because the rest of the stop is too short for it. A request that waits is
+// ended while its caller still has time to go elsewhere.
+func (p Plan) MustEnd(now time.Time, s Stage, w Work) bool {
+	if s == Begun {
+		return !now.Before(p.EndsAt)
+	}
+	if !now.Before(p.AnswerBy) {
+		return true
+	}
+	return s == Waiting && w.Deadline.After(p.AnswerBy) && w.HasExpected && now.Add(w.Expected).After(p.AnswerBy)
+}
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -13,6 +13,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/balancer"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/call"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/shutdown"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/eventstream"
 )
@@ -55,7 +56,7 @@
 			return cancellation()
 		}
 		if ctx.Err() != nil {
-			return g.timeout(rw, rs.mayHaveRun)
+			return g.timeout(ctx, rs, rw, rs.mayHaveRun)
 		}
 		if rs.sends >= rs.route.MaxAttempts || (rs.mayHaveRun && !rs.route.IsRetryable()) {
 			return fallback
@@ -63,6 +64,9 @@
 		if out := g.checkQuarantine(now, rs); out != nil {
 			return out
 		}
+		if g.isTooLate(now, rs) {
+			return fallback.withStop()
+		}
 		if rs.inputsFreed {
 			return fallback.withInputLost()
 		}
@@ -131,14 +135,21 @@
 	}
 }
 
-func (g *Gateway) timeout(rw *responseWriter, mayHaveRun bool) *outcome {
-	if rw.headerSent {
-		return &outcome{kind: truncated, cause: causeTimeout, reason: "time-out of the route", abort: true}
+// timeout returns the outcome of a request whose time is over.
+func (g *Gateway) timeout(ctx context.Context, rs *requestState, rw *responseWriter, mayHaveRun bool) *outcome {
+	var out *outcome
+	switch {
+	case rw.headerSent:
+		out = &outcome{kind: truncated, cause: causeTimeout, reason: "time-out of the route", abort: true}
+	case mayHaveRun:
+		out = failure(http.StatusGatewayTimeout, causeTimeout, "time-out of the route")
+	default:
+		out = refusal(causeTimeout, "time-out of the route before a send", shortRetry)
 	}
-	if mayHaveRun {
-		return failure(http.StatusGatewayTimeout, causeTimeout, "time-out of the route")
+	if isEndedByStop(ctx, rs) {
+		return out.withStop()
 	}
-	return refusal(causeTimeout, "time-out of the route before a send", shortRetry)
+	return out
 }
 
 // balancerRequest returns the balancer's view of a request.
@@ -332,6 +343,8 @@
 		pendingTokens = 0
 	}
 	defer markPromptRead()
+	g.setStage(rs, shutdown.Sent)
+	defer g.setStage(rs, shutdown.Waiting)
 	resp, err := g.cfg.Connections.Send(ctx, t.Address, req)
 	if err != nil {
 		result := g.sendFailure(ctx, r, rs, rw, t, err)
@@ -346,6 +359,7 @@
 	}
 	// Another target may need the inputs as long as nothing has been sent to the caller.
 	rw.onStart = func() { g.releaseResults(rs) }
+	rw.onBegin = func() bool { return g.beginResponse(g.cfg.Now(), rs) }
 	rw.onHeld = func(h eventstream.Held) { g.cfg.Meter.CountHeldEvent(rs.service.Name, string(h.Verdict)) }
 	rw.hasCrashed = func() bool {
 		_, ok := g.cfg.CrashedRun(ctx, t)
@@ -425,7 +439,7 @@
 		return sendResult{fallback: refusal(causeUnreachable, "targets cannot be reached", shortRetry)}
 	}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved) {
-		return sendResult{final: g.timeout(rw, true)}
+		return sendResult{final: g.timeout(ctx, rs, rw, true)}
 	}
 	broken := brokenUnanswered
 	if ctx.Err() != nil {
@@ -473,7 +487,7 @@
 	buffered, err := rw.bufferResponse(resp)
 	if err != nil {
 		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved) {
-			return sendResult{final: g.timeout(rw, true)}
+			return sendResult{final: g.timeout(ctx, rs, rw, true)}
 		}
 		return sendResult{fallback: failure(http.StatusBadGateway, causeTruncated, "answer was cut").withError(err), mayHaveRun: true, countsAsAttempt: true, broken: bufferedBreak(ctx)}
 	}
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/budget"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/call"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/shutdown"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/dispatch"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/permit"
@@ -101,15 +102,16 @@
 	firstByteTimes  map[string]time.Duration
 	meanSizes       map[string]float64
 	lastClaim       uint64
-	draining        bool
-	drainDeadline   time.Time
-	// running are the requests that are being served.
-	running map[*requestState]bool
+	// histories has how long the requests of each route took.
+	histories map[string]*shutdown.History
+	// stop is the plan of a planned stop, nil before it; running are the requests that are being served.
+	stop    *shutdown.Plan
+	running map[*runningRequest]bool
 }
 
 // New returns a gateway.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg, loads: newLoads(), retryWindows: map[string]*budget.RetryWindow{}, longestTimeouts: map[string]time.Duration{}, firstByteTimes: map[string]time.Duration{}, meanSizes: map[string]float64{}, running: map[*requestState]bool{}}
+	return &Gateway{cfg: cfg, loads: newLoads(), retryWindows: map[string]*budget.RetryWindow{}, longestTimeouts: map[string]time.Duration{}, firstByteTimes: map[string]time.Duration{}, meanSizes: map[string]float64{}, histories: map[string]*shutdown.History{}, running: map[*runningRequest]bool{}}
 }
 
 func (g *Gateway) retryLimits() budget.RetryLimits {
@@ -170,6 +172,9 @@
 	announced ratelimit.Pool
 	keeper    string
 	worth     float64
+	// run is what a planned stop needs to know of the request; isBounded is set if the stop bounds its deadline.
+	run       *runningRequest
+	isBounded bool
 	log       logrus.Fields
 }
 
@@ -193,9 +198,10 @@
 	rs := &requestState{Call: g.cfg.Headers.ParseRequest(now, r), table: g.cfg.Table(), sentTo: map[string]bool{}, log: logrus.Fields{}}
 	rs.claimID = g.newClaimID()
 	g.begin(r, rs)
+	rw := newResponseWriter(w)
 	out := g.admit(w, r, rs)
 	if out == nil {
-		out = g.serve(w, r, rs)
+		out = g.serve(r, rs, rw)
 	}
 	out.write(w)
 	g.end(rs, out)
@@ -249,10 +255,7 @@
 	if out := g.checkQuarantine(rs.Received, rs); out != nil {
 		return out
 	}
-	if g.outlastsDrain(rs) {
-		return refusal(causeStopping, "node is stopping", 0)
-	}
-	return nil
+	return g.admitDuringStop(g.cfg.Now(), rs)
 }
 
 // readBody reads the body of a request until its deadline; it returns nil if the body is complete.
@@ -265,10 +268,19 @@
 	if err := control.SetReadDeadline(rs.deadline); err != nil {
 		g.cfg.Log.WithError(err).WithField("request", rs.ID).Warn("gateway: the time to read a body cannot be bounded")
 	}
+	g.setEnd(rs, func(error) {
+		// An error means that the connection is closed already.
+		_ = control.SetReadDeadline(g.cfg.Now())
+	})
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	isEnded := g.setEnd(rs, nil)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case isEnded:
+		return refusal(causeStopping, "node is stopping", 0)
 	case errors.As(err, &tooLarge):
+		// The rest of the body is not read.
+		w.Header().Set("Connection", "close")
 		return denial(http.StatusRequestEntityTooLarge, causeSize, "body is too large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &outcome{kind: refused, status: http.StatusRequestTimeout, cause: causeBody, reason: "body was not received in time", retryAfter: shortRetry}
@@ -316,23 +328,30 @@
 )
 
 // serve runs the stages of a request and sends it to a target.
-func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, rs *requestState) *outcome {
-	ctx, cancel := context.WithDeadline(r.Context(), rs.deadline)
+func (g *Gateway) serve(r *http.Request, rs *requestState, rw *responseWriter) *outcome {
+	ctx, end := context.WithCancelCause(r.Context())
+	defer end(nil)
+	g.setEnd(rs, end)
+	defer g.setEnd(rs, nil)
+	ctx, cancel := context.WithDeadline(ctx, rs.deadline)
 	defer cancel()
 	defer g.releaseResults(rs)
 	g.RecordFirstSend(rs.Received, rs.service.Name)
-	rw := newResponseWriter(w, rs)
+	rw.setPlace(rs)
 	var out *outcome
 	for range maxStageRuns {
 		if out = g.runStages(ctx, r, rs); out == nil {
 			out = g.forward(ctx, r, rs, rw)
 		}
 		out = rw.finalOutcome(out)
+		if isEndedByStop(ctx, rs) {
+			out = out.withStop()
+		}
 		if rs.mayHaveRun && out.kind == refused {
 			// A refusal states that the request has not run.
 			out.kind, out.status = failed, http.StatusBadGateway
 		}
-		if !out.inputLost {
+		if !out.inputLost || ctx.Err() != nil {
 			return out
 		}
 		g.releaseResults(rs)
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -39,7 +39,7 @@
 	causeSize  cause = "size"
 	// The body of the request was not received in time.
 	causeBody cause = "body"
-	// The node is stopping and accepts no long streams.
+	// The node is stopping, and the request would not end in time.
 	causeStopping cause = "stopping"
 	// The stages could not start the request's pieces in time, or a piece was lost or late.
 	causeOverloaded cause = "crowded"
@@ -104,6 +104,21 @@
 	return &o
 }
 
+// withStop returns the outcome with a planned stop as its cause. What has not run is refused, so that its caller goes elsewhere.
+func (o outcome) withStop() *outcome {
+	if o.written || o.kind == answered || o.kind == denied {
+		return &o
+	}
+	o.cause, o.reason = causeStopping, "node is stopping"
+	o.retryAfter, o.inputLost = 0, false
+	return &o
+}
+
+// stopFailure is the outcome of a response that has not begun at the end of a planned stop.
+func stopFailure() *outcome {
+	return failure(http.StatusGatewayTimeout, causeStopping, "node is stopping")
+}
+
 func cancellation() *outcome {
 	return &outcome{kind: cancelled, cause: causeCaller, reason: "caller left", abort: true}
 }
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -38,6 +38,8 @@
 	hasCrashed func() bool
 	// onHeld is called for each event that is held back.
 	onHeld func(eventstream.Held)
+	// onBegin is called when the first part of the response is passed on; false if the response can no longer be completed.
+	onBegin func() bool
 	// received is what the last target has sent.
 	received receivedBody
 }
@@ -51,12 +53,13 @@
 	return &outcome{kind: truncated, cause: causeNotResumed, reason: "stream was not resumed: " + o.reason, abort: true, inputLost: o.inputLost}
 }
 
-// newResponseWriter returns the writer of a request's response; a caller that resumes a stream has its first events.
-func newResponseWriter(w http.ResponseWriter, rs *requestState) *responseWriter {
-	if !rs.route.Resumable {
-		return &responseWriter{w: w}
+func newResponseWriter(w http.ResponseWriter) *responseWriter { return &responseWriter{w: w} }
+
+// setPlace sets the caller's place in a stream: one that resumes it has its first events.
+func (rw *responseWriter) setPlace(rs *requestState) {
+	if rs.route.Resumable {
+		rw.assembler = eventstream.NewAssembler(rs.LastEventID)
 	}
-	return &responseWriter{w: w, assembler: eventstream.NewAssembler(rs.LastEventID)}
 }
 
 // resumePoint returns the ID of the event after which a target is asked to go on, "" for the start of a stream.
--- a/internal/wire/gateway/stop.go
+++ b/internal/wire/gateway/stop.go
@@ -1,53 +1,213 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"sort"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/shutdown"
 )
 
-// Drain makes the gateway refuse streams that could not end before a planned stop does.
-func (g *Gateway) Drain(now time.Time, grace time.Duration) {
+// errStopping ends a request for which the rest of a planned stop is too short.
+var errStopping = errors.New("node is stopping")
+
+// runningRequest is what a planned stop needs to know of a request; the gateway's lock guards it.
+type runningRequest struct {
+	id           string
+	route        string
+	service      string
+	received     time.Time
+	deadline     time.Time
+	outputTokens int
+	// objective is how long a request may take by its route, 0 for streams: it bounds only their first byte.
+	objective time.Duration
+	stage     shutdown.Stage
+	// needsInputs is set until the results of the request's stages are there, hasBegun once a part of its response was passed on.
+	needsInputs bool
+	firstByteAt time.Time
+	// end ends what the request does now; isEnded is set once the stop has called it.
+	end     func(error)
+	isEnded bool
+}
+
+// Drain makes the gateway accept only what ends before a planned stop does. The caller has to call Review now and then.
+func (g *Gateway) Drain(p shutdown.Plan) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.draining = true
-	g.drainDeadline = now.Add(grace)
+	g.stop = &p
 }
 
-// streamCutoff is how long before the end of a planned stop the gateway stops accepting streams.
-const streamCutoff = 4 * time.Second
+// Review ends the requests for which the rest of a planned stop is too short. The plan may have changed since Drain.
+func (g *Gateway) Review(now time.Time, p shutdown.Plan) {
+	g.mu.Lock()
+	var due []*runningRequest
+	g.stop = &p
+	for x := range g.running {
+		if !x.isEnded && x.end != nil && p.MustEnd(now, x.stage, g.workOf(now, x)) {
+			x.isEnded = true
+			due = append(due, x)
+		}
+	}
+	for _, x := range due {
+		x.end(errStopping)
+	}
+	g.mu.Unlock()
+	for _, x := range due {
+		g.cfg.Log.WithFields(logrus.Fields{"request": x.id, "stage": string(x.stage), "left_ms": p.EndsAt.Sub(now).Milliseconds()}).Warn("gateway: request ended by the stop")
+	}
+}
+
+// workOf returns what is known of the rest of a request; the lock is held.
+func (g *Gateway) workOf(now time.Time, x *runningRequest) shutdown.Work {
+	w := shutdown.Work{Deadline: x.deadline}
+	var total, first time.Duration
+	if h := g.histories[x.route]; h != nil {
+		total, first, w.HasExpected = h.Expected(x.outputTokens)
+	}
+	if !w.HasExpected {
+		w.Expected, w.HasExpected = x.objective, x.objective > 0
+		return w
+	}
+	firstByte := min(g.firstByteTimes[x.service], first)
+	switch {
+	case !x.firstByteAt.IsZero():
+		w.Expected = max(0, total-first-now.Sub(x.firstByteAt))
+	case x.needsInputs:
+		w.Expected = max(first-now.Sub(x.received), firstByte) + total - first
+	default:
+		w.Expected = firstByte + total - first
+	}
+	return w
+}
+
+// admitDuringStop returns nil if a request may be served, or its refusal if it may not end before a planned stop does.
+func (g *Gateway) admitDuringStop(now time.Time, rs *requestState) *outcome {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	x := rs.run
+	x.route, x.service, x.deadline, x.outputTokens = rs.route.Name, rs.service.Name, rs.deadline.Add(responseMargin), rs.Prompt.OutputTokens
+	x.needsInputs = len(rs.route.Stages) > 0
+	if rs.route.RetryPolicy != route.Streaming {
+		x.objective = rs.route.LatencyObjective
+	}
+	if g.stop == nil {
+		return nil
+	}
+	work := g.workOf(now, x)
+	switch v := g.stop.Admit(now, work); v {
+	case shutdown.Reject:
+		return refusal(causeStopping, "node is stopping", 0)
+	case shutdown.AcceptBounded:
+		rs.log["expected_ms"] = work.Expected.Milliseconds()
+		end := g.stop.AnswerBy
+		if rs.route.RetryPolicy == route.Streaming {
+			end = g.stop.EndsAt
+		}
+		rs.isBounded = true
+		rs.deadline = end.Add(-responseMargin)
+		if rs.firstByteBy.After(rs.deadline) {
+			rs.firstByteBy = rs.deadline
+		}
+	}
+	return nil
+}
 
-// outlastsDrain reports whether a request would still run when a planned stop ends.
-func (g *Gateway) outlastsDrain(rs *requestState) bool {
+// isTooLate reports whether a send that begins now would not end before a planned stop does.
+func (g *Gateway) isTooLate(now time.Time, rs *requestState) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.draining && rs.route.RetryPolicy == route.Streaming && rs.Received.Add(rs.route.Timeout).After(g.drainDeadline) &&
-		g.drainDeadline.Sub(rs.Received) < streamCutoff
+	return g.stop != nil && g.stop.MustEnd(now, shutdown.Waiting, g.workOf(now, rs.run))
+}
+
+// beginResponse records that a response begins, and reports whether it may. A request that came during the stop was accepted because
+// it was expected to end in time; if that has turned out wrong, a complete answer of the node's own is better than a part of it.
+func (g *Gateway) beginResponse(now time.Time, rs *requestState) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	x := rs.run
+	x.firstByteAt = now
+	if g.stop != nil && !x.received.Before(g.stop.BeganAt) {
+		work := g.workOf(now, x)
+		if work.Deadline.After(g.stop.EndsAt) && now.Add(work.Expected).After(g.stop.EndsAt) {
+			return false
+		}
+	}
+	x.stage = shutdown.Begun
+	return true
+}
+
+// isEndedByStop reports whether a planned stop has ended a request whose time is over.
+func isEndedByStop(ctx context.Context, rs *requestState) bool {
+	return errors.Is(context.Cause(ctx), errStopping) || (rs.isBounded && errors.Is(ctx.Err(), context.DeadlineExceeded))
+}
+
+// setEnd sets what ends the request at the end of a planned stop, and reports whether the stop has ended it already.
+func (g *Gateway) setEnd(rs *requestState, end func(error)) (isEnded bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rs.run.end = end
+	if rs.run.isEnded && end != nil {
+		end(errStopping)
+	}
+	return rs.run.isEnded
+}
+
+// setStage records how far a request has come. A stream that another target resumes has begun already.
+func (g *Gateway) setStage(rs *requestState, s shutdown.Stage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	x := rs.run
+	x.stage = s
+	if s == shutdown.Sent {
+		x.needsInputs = false
+		if !x.firstByteAt.IsZero() {
+			x.stage = shutdown.Begun
+		}
+	}
 }
 
 // begin records that a request is being served, and what its line in the log says if the node is stopping.
 func (g *Gateway) begin(r *http.Request, rs *requestState) {
 	isKept := countRequest(r)
+	rs.run = &runningRequest{id: rs.ID, received: rs.Received, deadline: rs.Received, stage: shutdown.Waiting}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.running[rs] = true
-	if g.draining {
-		rs.log["stop_left_ms"] = g.drainDeadline.Sub(rs.Received).Milliseconds()
+	g.running[rs.run] = true
+	if g.stop != nil {
+		rs.log["stop_left_ms"] = g.stop.EndsAt.Sub(rs.Received).Milliseconds()
 		rs.log["kept"] = isKept
 	}
 }
 
-// end records that a request is no longer served. A caller whose connection was closed at the end of a planned stop has not left.
+// end records that a request is no longer served, and how long it took.
 func (g *Gateway) end(rs *requestState, o *outcome) {
 	now := g.cfg.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.running, rs)
-	if o.kind == cancelled && g.draining && !now.Before(g.drainDeadline) {
+	x := rs.run
+	delete(g.running, x)
+	if o.kind == cancelled && g.stop != nil && !now.Before(g.stop.EndsAt) {
+		// The node has closed the connection.
 		o.cause, o.reason = causeStopping, "node stopped"
 	}
+	if x.isEnded || (o.kind != answered && o.kind != failed) {
+		return
+	}
+	h := g.histories[x.route]
+	if h == nil {
+		h = &shutdown.History{}
+		g.histories[x.route] = h
+	}
+	sample := shutdown.Sample{Total: now.Sub(x.received), OutputTokens: x.outputTokens}
+	if !x.firstByteAt.IsZero() {
+		sample.First = x.firstByteAt.Sub(x.received)
+	}
+	h.Add(sample)
 }
 
 // Running returns the IDs of the requests that are being served.
@@ -55,8 +215,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var ids []string
-	for rs := range g.running {
-		ids = append(ids, rs.ID)
+	for x := range g.running {
+		ids = append(ids, x.id)
 	}
 	sort.Strings(ids)
 	return ids
--- a/internal/wire/gateway/stream.go
+++ b/internal/wire/gateway/stream.go
@@ -27,6 +27,9 @@
 			rw.recordFirstByte()
 			events := rw.assembler.Response.Events
 			failure, e := rw.passEvents(resp, buf[:n])
+			if errors.Is(e, errStopping) {
+				return sendResult{final: stopFailure()}
+			}
 			if e != nil {
 				return sendResult{final: cancellation()}
 			}
@@ -60,7 +63,8 @@
 	}
 }
 
-// passEvents passes on what data completes. failure is set if the response cannot be used further, err if the caller has left.
+// passEvents passes on what data completes. failure is set if the response cannot be used further, err if the caller has left, or
+// errStopping if the response may not begin.
 func (rw *responseWriter) passEvents(resp *connection.Response, data []byte) (failure, err error) {
 	var passed eventstream.Passed
 	rw.assembler, passed, failure = rw.assembler.With(data)
@@ -77,6 +81,9 @@
 	if len(passed.Text) == 0 {
 		return failure, nil
 	}
+	if !rw.headerSent && !rw.onBegin() {
+		return failure, errStopping
+	}
 	rw.start(resp)
 	return failure, rw.write(passed.Text)
 }
@@ -90,6 +97,9 @@
 		rw.received.bytes += n
 		if n > 0 {
 			rw.recordFirstByte()
+			if !rw.headerSent && !rw.onBegin() {
+				return sendResult{final: stopFailure()}
+			}
 			rw.start(resp)
 			if e := rw.write(buf[:n]); e != nil {
 				return sendResult{final: cancellation()}
