Finish the pieces of other nodes before a stopping node ends

Callers saw: stages that took twice as long when the node that made their calls was stopped, and stage work thrown away. Cause: a node that stops ended as soon as its own callers had left, while its dispatcher had calls with the pieces of other nodes' requests under way; these found another dispatcher and were made again. Change: the node ends once its dispatcher has no piece left and results to be freed have been passed on, within the grace period, and the answers to other nodes have been sent.

--- a/internal/operator/gatewaynode/stop.go
+++ b/internal/operator/gatewaynode/stop.go
@@ -15,6 +15,8 @@
 	balancerLag = 2500 * time.Millisecond
 	// reviewInterval is the time between two looks at the requests that run during a planned stop.
 	reviewInterval = 20 * time.Millisecond
+	// lastAnswers is how long answers to other nodes may take to be sent; calls that follow a node's view do not end by themselves.
+	lastAnswers = 100 * time.Millisecond
 	// loggedRequests bounds the requests that one line of the log names.
 	loggedRequests = 20
 )
@@ -42,10 +44,29 @@
 		n.cfg.Log.WithError(err).WithFields(logrus.Fields{"running": len(running), "requests": running[:min(len(running), loggedRequests)]}).Warn("node: requests were still running at the end of the grace period")
 		_ = n.callerServer.Close()
 	}
+	if groups := n.dispatcher.AwaitIdle(ctx); groups > 0 {
+		n.cfg.Log.WithField("groups", groups).Warn("node: pieces of other nodes were still running at the end of the grace period")
+	}
+	n.stopPeers(ctx)
 	n.Kill()
 	n.cfg.Log.WithField("ms", n.cfg.Now().Sub(started).Milliseconds()).Info("node: stopped")
 }
 
+// stopPeers ends the interface for other nodes once its last answers have been sent.
+func (n *Node) stopPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lastAnswers)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.peerServer.GracefulStop()
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
 // review ends the requests for which the rest of a planned stop is too short, and calls stop once what still runs has to be closed.
 func (n *Node) review(ctx context.Context, stop context.CancelFunc, plan shutdown.Plan) {
 	ticker := time.NewTicker(reviewInterval)
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -40,6 +40,8 @@
 	// configWait bounds how long a group waits for a node's first configuration, which arrives some 20 ms after the
 	// start if the store is available. It is below the time after which a dispatcher counts as unresponsive.
 	configWait = 200 * time.Millisecond
+	// idleInterval is the time between two looks at the groups of a dispatcher whose node stops.
+	idleInterval = 5 * time.Millisecond
 	// probeTimeout bounds a request for a target's space.
 	probeTimeout = 300 * time.Millisecond
 )
@@ -122,6 +124,24 @@
 // Drain makes the dispatcher decline new groups; those that it already has still run.
 func (d *Dispatcher) Drain() { d.draining.Store(true) }
 
+// AwaitIdle waits until the dispatcher has no piece left and targets have been told of all results to be freed. It returns the number of
+// groups that were left when ctx ended.
+func (d *Dispatcher) AwaitIdle(ctx context.Context) int {
+	for {
+		d.mu.Lock()
+		groups, frees := len(d.groups), len(d.pendingFrees)
+		d.mu.Unlock()
+		if groups+frees == 0 {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			return groups
+		case <-time.After(idleInterval):
+		}
+	}
+}
+
 // awaitConfig waits up to configWait for the first configuration of a node that has just started, and returns the
 // result of CheckAccepting.
 func (d *Dispatcher) awaitConfig(ctx context.Context) error {
