Accept what the kernel has taken before a stopping node closes its listener

Callers saw: a connection that was reset at once, opened in the last moment in which a stopping node listened. Cause: closing a listener resets the connections in the kernel's queue; on a busy VM the server may be late to accept them. Change: the listener is closed once that queue is empty, for 100 ms at most. Conclusion: the window shrinks from the time that the server needs to accept to some microseconds.

--- a/internal/operator/gatewaynode/stop.go
+++ b/internal/operator/gatewaynode/stop.go
@@ -49,7 +49,7 @@
 	}
 	n.stopPeers(ctx)
 	n.Kill()
-	n.cfg.Log.WithField("ms", n.cfg.Now().Sub(started).Milliseconds()).Info("node: stopped")
+	n.cfg.Log.WithFields(logrus.Fields{"ms": n.cfg.Now().Sub(started).Milliseconds(), "accepted": n.callerListener.Connections().Accepted}).Info("node: stopped")
 }
 
 // stopPeers ends the interface for other nodes once its last answers have been sent.
--- a/internal/wire/transport/drain.go
+++ b/internal/wire/transport/drain.go
@@ -17,6 +17,10 @@
 	newConnWait = time.Second
 	// drainInterval is the time between two looks at the connections of a server that drains.
 	drainInterval = 5 * time.Millisecond
+	// maxPendingWait bounds how long connections that the kernel has taken are waited for, pendingInterval is the time between two
+	// looks at their number.
+	maxPendingWait  = 100 * time.Millisecond
+	pendingInterval = 200 * time.Microsecond
 )
 
 // Listener is the listener of one server, which knows the connections that bring a request or wait for a response.
@@ -30,6 +34,8 @@
 	now    func() time.Time
 	// closing is set once responses end their connections.
 	closing atomic.Bool
+	// accepted counts the connections that were accepted.
+	accepted atomic.Int64
 	// ended is closed once the listener has been closed and the server has taken over all connections; endOnce guards it.
 	ended   chan struct{}
 	endOnce sync.Once
@@ -101,6 +107,9 @@
 	if errors.Is(err, net.ErrClosed) {
 		l.endOnce.Do(func() { close(l.ended) })
 	}
+	if err == nil {
+		l.accepted.Add(1)
+	}
 	return conn, err
 }
 
@@ -119,15 +128,15 @@
 
 // Connections are the numbers of a listener's connections by what they do.
 type Connections struct {
-	// New have not brought a request yet, Active wait for a response. Idle connections are not counted here.
-	New, Active int
+	// New have not brought a request yet, Active wait for a response. Accepted are all that were ever accepted.
+	New, Active, Accepted int
 }
 
 // Connections returns how many connections bring their first request or wait for a response.
 func (l *Listener) Connections() Connections {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Connections{New: len(l.opened), Active: len(l.active)}
+	return Connections{New: len(l.opened), Active: len(l.active), Accepted: int(l.accepted.Load())}
 }
 
 // isBusy reports whether a request is being answered, or may be on its way on a new connection.
@@ -142,10 +151,29 @@
 	return len(l.active) > 0
 }
 
+// acceptPending waits until the server has accepted the connections that the kernel has taken for it: closing the listener resets them.
+func (l *Listener) acceptPending(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxPendingWait)
+	defer cancel()
+	for {
+		n, err := pendingConnections(l.Listener)
+		if err != nil || n == 0 {
+			// Not every listener tells.
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pendingInterval):
+		}
+	}
+}
+
 // Drain closes the listener, waits until no request is on its way or being answered, and shuts the server down. Serve returns
 // net.ErrClosed then. The error is that of ctx if requests were still running when it ended.
 func (l *Listener) Drain(ctx context.Context) error {
 	l.EndKeepAlives()
+	l.acceptPending(ctx)
 	if err := l.Close(); err != nil {
 		return merry.Prepend(err, "close listener")
 	}
