Follow a grace period that becomes shorter, also during a stop

Cause: the grace period was read when the node started; the platform's kill may follow the settings of the moment, and does not wait. Change: the settings are read at SIGTERM and every 200 ms of the stop; the shorter of the known and the new grace period holds. Conclusion: a longer grace period is not followed during a stop, since the platform may have set its timer before.

--- a/cmd/lacewingdrift/platform.go
+++ b/cmd/lacewingdrift/platform.go
@@ -59,8 +59,12 @@
 		Headers:     platform.HeaderCodec{},
 		StageClient: platform.NewStageClient(connections),
 		Connections: connections,
-		Log:         log,
-		Now:         time.Now,
+		GracePeriod: func() (time.Duration, error) {
+			s, err := platform.ReadSettings(path)
+			return s.GracePeriod, err
+		},
+		Log: log,
+		Now: time.Now,
 	})
 	if err != nil {
 		return err
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -60,6 +60,8 @@
 	Headers     gateway.HeaderCodec
 	StageClient dispatch.TargetClient
 	Connections *connection.Pool
+	// GracePeriod reads the grace period that the settings name now; it may be nil.
+	GracePeriod func() (time.Duration, error)
 	Log         logrus.FieldLogger
 	Now         func() time.Time
 }
--- a/internal/operator/gatewaynode/stop.go
+++ b/internal/operator/gatewaynode/stop.go
@@ -15,18 +15,34 @@
 	balancerLag = 2500 * time.Millisecond
 	// reviewInterval is the time between two looks at the requests that run during a planned stop.
 	reviewInterval = 20 * time.Millisecond
+	// graceInterval is the time between two looks at the grace period that the settings name.
+	graceInterval = 200 * time.Millisecond
 	// lastAnswers is how long answers to other nodes may take to be sent; calls that follow a node's view do not end by themselves.
 	lastAnswers = 100 * time.Millisecond
 	// loggedRequests bounds the requests that one line of the log names.
 	loggedRequests = 20
 )
 
+// stopPlan is the plan of a stop, which changes if the VM is suspended or the grace period becomes shorter.
+type stopPlan struct {
+	began time.Time
+	grace time.Duration
+	lost  time.Duration
+	clock suspendClock
+}
+
+// current returns the plan as it stands.
+func (p *stopPlan) current() shutdown.Plan {
+	return shutdown.NewPlan(p.began, p.grace, balancerLag).WithLost(p.lost)
+}
+
 // Stop drains and stops the node: it becomes not ready, keeps serving until the load balancer has stopped using it, and
 // finishes what it accepts within the grace period.
 func (n *Node) Stop() {
 	started := n.cfg.Now()
-	plan := shutdown.NewPlan(started, n.cfg.Settings.GracePeriod, balancerLag)
-	n.cfg.Log.WithFields(logrus.Fields{"grace_ms": n.cfg.Settings.GracePeriod.Milliseconds(), "answer_by_ms": plan.AnswerBy.Sub(started).Milliseconds()}).Info("node: stopping")
+	stop := &stopPlan{began: started, grace: n.gracePeriod(n.cfg.Settings.GracePeriod)}
+	plan := stop.current()
+	n.cfg.Log.WithFields(logrus.Fields{"grace_ms": stop.grace.Milliseconds(), "answer_by_ms": plan.AnswerBy.Sub(started).Milliseconds()}).Info("node: stopping")
 	n.draining.Store(true)
 	n.gateway.Drain(plan)
 	n.callerListener.EndKeepAlives()
@@ -35,10 +51,14 @@
 	n.view.broadcaster.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go n.review(ctx, cancel, plan)
-	sleep(ctx, plan.LagEndsAt.Sub(n.cfg.Now()))
+	lagEnded := make(chan struct{})
+	go n.review(ctx, stop, reviewEvents{onLagEnded: func() { close(lagEnded) }, onEnd: cancel})
+	select {
+	case <-lagEnded:
+	case <-ctx.Done():
+	}
 	conns := n.callerListener.Connections()
-	n.cfg.Log.WithFields(logrus.Fields{"new": conns.New, "active": conns.Active, "left_ms": plan.EndsAt.Sub(n.cfg.Now()).Milliseconds()}).Info("node: no longer listens")
+	n.cfg.Log.WithFields(logrus.Fields{"new": conns.New, "active": conns.Active, "ms": n.cfg.Now().Sub(started).Milliseconds()}).Info("node: no longer listens")
 	if err := n.callerListener.Drain(ctx); err != nil {
 		running := n.gateway.Running()
 		n.cfg.Log.WithError(err).WithFields(logrus.Fields{"running": len(running), "requests": running[:min(len(running), loggedRequests)]}).Warn("node: requests were still running at the end of the grace period")
@@ -52,6 +72,20 @@
 	n.cfg.Log.WithFields(logrus.Fields{"ms": n.cfg.Now().Sub(started).Milliseconds(), "accepted": n.callerListener.Connections().Accepted}).Info("node: stopped")
 }
 
+// gracePeriod returns the grace period that the settings name now, or the known one if that is shorter: the platform's kill may follow
+// either.
+func (n *Node) gracePeriod(known time.Duration) time.Duration {
+	if n.cfg.GracePeriod == nil {
+		return known
+	}
+	grace, err := n.cfg.GracePeriod()
+	if err != nil {
+		n.cfg.Log.WithError(err).WithField("grace_ms", known.Milliseconds()).Warn("node: grace period cannot be read again; the known one stays in force")
+		return known
+	}
+	return min(known, grace)
+}
+
 // stopPeers ends the interface for other nodes once its last answers have been sent.
 func (n *Node) stopPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, lastAnswers)
@@ -67,40 +101,48 @@
 	}
 }
 
-// review ends the requests for which the rest of a planned stop is too short, and calls stop once what still runs has to be closed.
-func (n *Node) review(ctx context.Context, stop context.CancelFunc, plan shutdown.Plan) {
+// reviewEvents are called once each, as a stop goes on.
+type reviewEvents struct {
+	// onLagEnded is called when the load balancer no longer sends new connections, onEnd once what still runs has to be closed.
+	onLagEnded, onEnd func()
+}
+
+// review ends the requests for which the rest of a planned stop is too short.
+func (n *Node) review(ctx context.Context, stop *stopPlan, events reviewEvents) {
 	ticker := time.NewTicker(reviewInterval)
 	defer ticker.Stop()
-	clock := newSuspendClock()
+	hasLagged, readAt := false, stop.began
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		lost, err := clock.Lost()
+		now := n.cfg.Now()
+		lost, err := stop.clock.Lost()
 		if err != nil {
 			n.cfg.Log.WithError(err).Warn("node: the time that the VM was suspended is not known")
 		}
 		if lost > 0 {
 			n.cfg.Log.WithField("lost_ms", lost.Milliseconds()).Warn("node: VM was suspended during the stop")
-			plan = plan.WithLost(lost)
+			stop.lost += lost
 		}
-		now := n.cfg.Now()
+		if now.Sub(readAt) >= graceInterval {
+			readAt = now
+			if grace := n.gracePeriod(stop.grace); grace < stop.grace {
+				n.cfg.Log.WithFields(logrus.Fields{"grace_ms": grace.Milliseconds(), "former_ms": stop.grace.Milliseconds()}).Warn("node: grace period is shorter now")
+				stop.grace = grace
+			}
+		}
+		plan := stop.current()
 		n.gateway.Review(now, plan)
+		if !hasLagged && !now.Before(plan.LagEndsAt) {
+			hasLagged = true
+			events.onLagEnded()
+		}
 		if now.After(plan.EndsAt.Add(plan.KilledAt.Sub(plan.EndsAt) / 2)) {
-			stop()
+			events.onEnd()
 			return
 		}
 	}
 }
-
-// sleep waits for a time or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/operator/gatewaynode/suspend.go
+++ b/internal/operator/gatewaynode/suspend.go
@@ -10,14 +10,13 @@
 // suspendTolerance is how far the two clocks may drift apart between two readings without a suspension of the VM.
 const suspendTolerance = 20 * time.Millisecond
 
-// suspendClock finds out for how long the VM was suspended: the steady clock stands still then, and the platform's clock does not.
+// suspendClock finds out for how long the VM was suspended: the steady clock stands still then, and the platform's clock does not. The
+// zero value begins with the first reading.
 type suspendClock struct {
 	offset time.Duration
 	isSet  bool
 }
 
-func newSuspendClock() *suspendClock { return &suspendClock{} }
-
 // Lost returns for how long the VM was suspended since the last call.
 func (c *suspendClock) Lost() (time.Duration, error) {
 	steady, err := readClock(unix.CLOCK_MONOTONIC)
@@ -28,16 +27,22 @@
 	if err != nil {
 		return 0, err
 	}
+	return c.record(steady, sinceBoot), nil
+}
+
+// record returns the time lost since the last reading of both clocks.
+func (c *suspendClock) record(steady, sinceBoot time.Duration) time.Duration {
 	offset := sinceBoot - steady
-	lost := offset - c.offset
-	wasSet := c.isSet
-	if !wasSet || lost > suspendTolerance {
+	if !c.isSet {
 		c.offset, c.isSet = offset, true
+		return 0
 	}
-	if !wasSet || lost <= suspendTolerance {
-		return 0, nil
+	lost := offset - c.offset
+	if lost <= suspendTolerance {
+		return 0
 	}
-	return lost, nil
+	c.offset = offset
+	return lost
 }
 
 func readClock(id int32) (time.Duration, error) {
