--- a/internal/serving/shutdown/plan.go
+++ b/internal/serving/shutdown/plan.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// reserveShare is the part of the grace period that is reserved twice: between the last response that the node makes up
-	// itself and the end of its connections, and between that and the end of the grace period.
+	// reserveShare is the part of the grace period that is reserved three times: once between the last response that the node makes
+	// up itself and the end of its connections, and twice between that and the end of the grace period, for a busy VM.
 	reserveShare = 1.0 / 32
 	// minReserve and maxReserve bound that reserve: answering and closing everything takes about as long for any grace period.
 	minReserve = 60 * time.Millisecond
@@ -27,12 +27,12 @@
 
 // NewPlan returns the plan of a stop whose process is killed after a grace period; lag is that of the load balancer.
 func NewPlan(began time.Time, grace, lag time.Duration) Plan {
-	reserve := min(max(time.Duration(reserveShare*float64(grace)), minReserve), maxReserve, grace/4)
+	reserve := min(max(time.Duration(reserveShare*float64(grace)), minReserve), maxReserve, grace/8)
 	return Plan{
 		BeganAt:   began,
 		LagEndsAt: began.Add(min(lag, time.Duration(lagShare*float64(grace)))),
-		AnswerBy:  began.Add(grace - 2*reserve),
-		EndsAt:    began.Add(grace - reserve),
+		AnswerBy:  began.Add(grace - 3*reserve),
+		EndsAt:    began.Add(grace - 2*reserve),
 		KilledAt:  began.Add(grace),
 	}
 }
