Receive the signals of a stop before other packages can take them

Callers saw: a node that went on as if it had not been told to stop, and was killed at the end of its grace period with whatever it was serving. Cause: a library that handles SIGTERM by itself subscribes while the program is initialized; a signal that came before the node had subscribed as well was taken by the library, which had been told to do nothing with it. It is the second way in which a planned stop cuts requests. Change: a package that imports nothing else subscribes while it is initialized, before that library. Commands other than serve give the signals back, so that they end at once. Conclusion: a signal comes either before the process has a handler, and ends it, or is kept until the node is there.

--- a/cmd/lacewingdrift/main.go
+++ b/cmd/lacewingdrift/main.go
@@ -6,8 +6,13 @@
 	"os"
 
 	"github.com/spf13/cobra"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/stopsignal"
 )
 
+// serveName is the name of the subcommand that stops by itself after a signal.
+const serveName = "serve"
+
 func main() {
 	if err := root().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "lacewingdrift:", err)
@@ -21,6 +26,11 @@
 		Short:         "Serve multi-stage model pipelines under one deadline",
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		PersistentPreRun: func(c *cobra.Command, _ []string) {
+			if c.Name() != serveName {
+				stopsignal.Release()
+			}
+		},
 	}
 	c.AddCommand(
 		serveCommand(),
--- a/cmd/lacewingdrift/platform.go
+++ b/cmd/lacewingdrift/platform.go
@@ -11,6 +11,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/gatewaynode"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/logging"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/metrics"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/stopsignal"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/transport"
 	"github.com/lacewingdrift/lacewingdrift/platform"
@@ -28,8 +29,7 @@
 // servePlatform runs one node on the users' platform, with the platform's settings file, until SIGTERM or SIGINT.
 func servePlatform() error {
 	transport.DisableSignalHandling()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signals := stopsignal.Received()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
--- a/cmd/lacewingdrift/serve.go
+++ b/cmd/lacewingdrift/serve.go
@@ -5,14 +5,13 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/logging"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/process"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/stopsignal"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/transport"
 )
 
@@ -62,8 +61,7 @@
 
 func serve(s settings.Settings) error {
 	transport.DisableSignalHandling()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signals := stopsignal.Received()
 	log := logging.New(logging.Config{Level: s.Log.Level, Format: s.Log.Format, Out: os.Stderr})
 	logging.RedirectGoZero(log)
 	p, err := process.Start(process.Config{Settings: s, Log: log, Seed: rand.Uint64()})
