Pass nothing of an answer that does not continue a begun stream

Cause: a resumable stream had begun and broke off, and the next target answered with a signed success that is not the stream. Such a response was passed on byte for byte if its content type was another one, and one without a body counted as the rest of the stream. Callers found the text of the answer behind their events, and in both cases a stream that ended as complete. Answers with a status of 300 or more, without a signature, with an encoding, or that are not HTTP never reached callers. Change: once the header has been sent, a response is read only if it has the status of the stream and is one of events.

--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -454,10 +454,7 @@
 		return sendResult{fallback: failure(http.StatusBadGateway, causeMismatched, "answer is not the target's"), mayHaveRun: true, countsAsAttempt: true}
 	}
 	if rw.headerSent {
-		if !success {
-			return sendResult{fallback: &outcome{kind: truncated, cause: causeNotResumed, reason: "stream was not resumed", abort: true}, mayHaveRun: true, countsAsAttempt: true}
-		}
-		return rw.stream(ctx, r, resp, true)
+		return rw.resume(ctx, r, resp)
 	}
 	canRetry := rs.sends+1 < rs.route.MaxAttempts && rs.route.IsRetryable()
 	if resp.Status >= 500 && canRetry {
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -25,8 +25,9 @@
 // responseWriter writes the response of one request to its caller.
 type responseWriter struct {
 	w http.ResponseWriter
-	// headerSent is set once the header has been sent.
+	// headerSent is set once the header has been sent, status is its status.
 	headerSent bool
+	status     int
 	// assembler is the stream as far as the caller has it.
 	assembler eventstream.Assembler
 	// stopMove is called with the response's first bytes and keeps the request at its target; it may be nil. onFirstByte is also
@@ -184,7 +185,7 @@
 	if rw.headerSent {
 		return
 	}
-	rw.headerSent = true
+	rw.headerSent, rw.status = true, resp.Status
 	rw.onStart()
 	copyHeader(rw.w, resp.Header)
 	rw.w.Header().Del("Content-Length")
--- a/internal/wire/gateway/stream.go
+++ b/internal/wire/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -60,6 +61,16 @@
 	}
 }
 
+// resume goes on with a stream that the caller has begun to receive. Nothing of a response that is not the same stream reaches the
+// caller.
+func (rw *responseWriter) resume(ctx context.Context, r *http.Request, resp *connection.Response) sendResult {
+	if resp.Status != rw.status || !hasEvents(resp.Header) {
+		reason := fmt.Sprintf("stream was not resumed: status %d, content type %q", resp.Status, resp.Header.Get("Content-Type"))
+		return sendResult{fallback: &outcome{kind: truncated, cause: causeNotResumed, reason: reason, abort: true}, mayHaveRun: true, countsAsAttempt: true}
+	}
+	return rw.stream(ctx, r, resp, true)
+}
+
 // passEvents passes on what data completes. failure is set if the response cannot be used further, err if the caller has left.
 func (rw *responseWriter) passEvents(resp *connection.Response, data []byte) (failure, err error) {
 	var passed eventstream.Passed
