Wait for the event in which a stream broke off

Cause: a resumable stream broke off inside an event, and the next target answered with an end and no new event: nothing, a comment or the last event again. What it had not brought was forgotten with the first response, so the stream ended as complete. Callers missed the event and all that follow it, also those that resume by themselves and had got nothing yet. Change: the assembler keeps over all responses that an event was begun, until one is passed. A response that ends before that does not complete the stream: another target is asked, or the stream is cut. A part of an event in a response that was not used says nothing. A response without a content type is a stream only with status 200, so that a 204 goes to its caller unchanged where nothing was sent.

--- a/internal/wire/eventstream/assembler.go
+++ b/internal/wire/eventstream/assembler.go
@@ -16,13 +16,17 @@
 	pending []byte
 	// hasBegun is set once the current response has brought an event.
 	hasBegun bool
+	// isEventDue is set if an earlier response ended inside an event and none has been passed since.
+	isEventDue bool
 }
 
 // NewAssembler returns the assembler of a caller that has all events up to one with an ID, "" for none.
 func NewAssembler(after string) Assembler { return Assembler{Place: PlaceAfter(after)} }
 
 // WithResponse returns the assembler at the start of another response.
-func (a Assembler) WithResponse() Assembler { return Assembler{Place: a.Place} }
+func (a Assembler) WithResponse() Assembler {
+	return Assembler{Place: a.Place, isEventDue: a.isEventDue || (a.Response.InEvent && len(a.pending) > 0)}
+}
 
 // Passed is what a read of a response brings.
 type Passed struct {
@@ -61,16 +65,31 @@
 		case Pass:
 			p.Text = append(p.Text, e.Text...)
 			a.Place = a.Place.With(e)
+			a.isEventDue = a.isEventDue && e.IsFiller
 			continue
 		case Repeated:
 			p.Held = append(p.Held, Held{ID: e.ID, Verdict: verdict})
 			continue
 		}
 		p.Held = append(p.Held, Held{ID: e.ID, Verdict: verdict})
+		// What follows is not the caller's stream and tells nothing of it.
+		a.pending = nil
 		return a, p, merry.Prependf(ErrNotContinued, "event %q (%s), caller has %q", e.ID, verdict, a.Place.ID())
 	}
 	return a, p, nil
 }
 
+// EndError returns why the current response, which ended without a read error, does not complete the stream, or nil if it may;
+// explicit is as for Progress.
+func (a Assembler) EndError(explicit bool) error {
+	if err := a.Response.EndError(explicit); err != nil {
+		return err
+	}
+	if a.isEventDue {
+		return merry.Prepend(ErrNotContinued, "ended before an event that an earlier response had begun")
+	}
+	return nil
+}
+
 // Rest returns what a response that has ended has sent behind its last complete event.
 func (a Assembler) Rest() []byte { return a.pending }
--- a/internal/wire/eventstream/assembler_test.go
+++ b/internal/wire/eventstream/assembler_test.go
@@ -66,6 +66,38 @@
 	}
 }
 
+// TestEventThatWasBegunIsDue covers responses that end between two events while an earlier one has ended inside an event.
+func TestEventThatWasBegunIsDue(t *testing.T) {
+	const one, two = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	tests := []struct {
+		name, after string
+		responses   []string
+		complete    bool
+	}{
+		{name: "nothing follows", responses: []string{one + "id: 2\nda", ""}},
+		{name: "nothing follows the caller's place", after: "1", responses: []string{"id: 2\nda", ""}},
+		{name: "comment", responses: []string{one + "id: 2\nda", ": ping\n\n"}},
+		{name: "last event again", responses: []string{one + two + "id: 3", two}},
+		{name: "two responses later", responses: []string{one + "id: 2", "", ""}},
+		{name: "next event", responses: []string{one + "id: 2\nda", two}, complete: true},
+		{name: "next event after a response without one", responses: []string{one + "id: 2\nda", "", two}, complete: true},
+		{name: "cut between events", responses: []string{one + two, ""}, complete: true},
+		{name: "cut in a comment", responses: []string{one + ": pi", ""}, complete: true},
+		{name: "begun by a response that was not used", responses: []string{one + two, one + "id: 2\nda", ""}, complete: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := NewAssembler(tt.after)
+			for _, response := range tt.responses {
+				a, _, _ = a.WithResponse().With([]byte(response))
+			}
+			if err := a.EndError(true); (err == nil) != tt.complete {
+				t.Errorf("got %v, want complete %t", err, tt.complete)
+			}
+		})
+	}
+}
+
 // streamText returns the events of a run from one number to the last one; CR, LF or CRLF ends its lines.
 func streamText(run byte, from, last int, lineEnding string) string {
 	var b strings.Builder
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -104,8 +104,10 @@
 	return resp.Framing == connection.FramedByClose && rw.hasCrashed()
 }
 
-// hasEvents reports whether a response on a streaming route is a stream of events. Targets may omit the content type there.
-func hasEvents(h http.Header) bool { return h.Get("Content-Type") == "" || eventstream.IsStream(h) }
+// hasEvents reports whether a response on a streaming route is a stream of events. Targets may omit the content type of a 200 there.
+func hasEvents(resp *connection.Response) bool {
+	return eventstream.IsStream(resp.Header) || (resp.Status == http.StatusOK && resp.Header.Get("Content-Type") == "")
+}
 
 // bufferedResponse is a complete response of a target.
 type bufferedResponse struct {
--- a/internal/wire/gateway/stream.go
+++ b/internal/wire/gateway/stream.go
@@ -15,7 +15,7 @@
 
 // stream passes the complete events of a response on as they arrive. Another target may continue a resumable stream after them.
 func (rw *responseWriter) stream(ctx context.Context, r *http.Request, resp *connection.Response, resumable bool) sendResult {
-	if !hasEvents(resp.Header) {
+	if !hasEvents(resp) {
 		return rw.copyBody(ctx, r, resp)
 	}
 	rw.assembler = rw.assembler.WithResponse()
@@ -45,7 +45,7 @@
 			continue
 		}
 		if err == io.EOF {
-			err = rw.assembler.Response.EndError(resp.Framing != connection.FramedByClose)
+			err = rw.assembler.EndError(resp.Framing != connection.FramedByClose)
 			if err == nil && rw.endsWithCrash(resp) {
 				err = errCrashed
 			}
@@ -64,7 +64,7 @@
 // resume goes on with a stream that the caller has begun to receive. Nothing of a response that is not the same stream reaches the
 // caller.
 func (rw *responseWriter) resume(ctx context.Context, r *http.Request, resp *connection.Response) sendResult {
-	if resp.Status != rw.status || !hasEvents(resp.Header) {
+	if resp.Status != rw.status || !hasEvents(resp) {
 		reason := fmt.Sprintf("stream was not resumed: status %d, content type %q", resp.Status, resp.Header.Get("Content-Type"))
 		return sendResult{fallback: &outcome{kind: truncated, cause: causeNotResumed, reason: reason, abort: true}, mayHaveRun: true, countsAsAttempt: true}
 	}
