Hold back errors with which a target answers in place of a stream

Cause: a resumable stream had begun and broke off, and the next target answered 200 with a stream whose first event is of type error and has the next event's ID, or comes without an ID behind the last event again. It was passed on as the next event; callers found the error in their stream, which then ended as complete. Change: such an event is held (verdict error) if something was passed to the caller here and nothing new has come in the response; then another target is asked or the stream is cut, as with a response that does not continue the stream. An error behind a new event, at the start of a stream or for a caller that resumes by itself is passed on unchanged. Conclusion: an error that is no event of type error and has the next ID cannot be told from the next event.

--- a/internal/wire/eventstream/assembler.go
+++ b/internal/wire/eventstream/assembler.go
@@ -16,6 +16,8 @@
 	pending []byte
 	// hasBegun is set once the current response has brought an event.
 	hasBegun bool
+	// hasPassed is set once an event of the current response has been passed.
+	hasPassed bool
 	// isEventDue is set if an earlier response ended inside an event and none has been passed since.
 	isEventDue bool
 }
@@ -59,12 +61,13 @@
 	a.pending = slices.Clone(whole[before+boundary:])
 	var p Passed
 	for _, e := range split(whole[:before+boundary]) {
-		verdict := a.Place.Judge(e, !a.hasBegun)
+		verdict := a.judge(e)
 		a.hasBegun = a.hasBegun || !e.IsFiller
 		switch verdict {
 		case Pass:
 			p.Text = append(p.Text, e.Text...)
 			a.Place = a.Place.With(e)
+			a.hasPassed = a.hasPassed || !e.IsFiller
 			a.isEventDue = a.isEventDue && e.IsFiller
 			continue
 		case Repeated:
@@ -79,6 +82,14 @@
 	return a, p, nil
 }
 
+// judge returns what becomes of an event of the current response.
+func (a Assembler) judge(e Event) Verdict {
+	if e.IsError && !a.hasPassed && a.Place.hasEvent() {
+		return Failed
+	}
+	return a.Place.Judge(e, !a.hasBegun)
+}
+
 // EndError returns why the current response, which ended without a read error, does not complete the stream, or nil if it may;
 // explicit is as for Progress.
 func (a Assembler) EndError(explicit bool) error {
--- a/internal/wire/eventstream/assembler_test.go
+++ b/internal/wire/eventstream/assembler_test.go
@@ -37,6 +37,12 @@
 		{name: "no IDs", responses: []string{"data: a\n\ndata: b\n\n"}, want: "data: a\n\ndata: b\n\n"},
 		{name: "event without an ID behind others", responses: []string{one + "data: end\n\n"}, want: one + "data: end\n\n"},
 		{name: "continued without an ID", responses: []string{one + two, "data: c\n\n"}, want: one + two, held: []Verdict{Unnamed}, broken: true, continues: true},
+		{name: "continued with an error", responses: []string{one + two, "id: 3\nevent: error\ndata: c\n\n" + three}, want: one + two, held: []Verdict{Failed}, broken: true, continues: true},
+		{name: "continued with an error behind the last event", responses: []string{one + two, ": ping\n\n" + two + "event:error\n\n"}, want: one + two + ": ping\n\n", held: []Verdict{Repeated, Failed}, broken: true, continues: true},
+		{name: "error behind an event of the same response", responses: []string{one + two, three + "event: error\n\n"}, want: one + two + three + "event: error\n\n"},
+		{name: "error for a caller that resumes", after: "1", responses: []string{"id: 2\nevent: error\n\n"}, want: "id: 2\nevent: error\n\n", continues: true},
+		{name: "error at the start", responses: []string{"event: error\n\n"}, want: "event: error\n\n"},
+		{name: "other type", responses: []string{one + two, "event: errors\nid: 3\n\n"}, want: one + two + "event: errors\nid: 3\n\n", continues: true},
 		{name: "IDs that are no numbers", responses: []string{"id: a\n\nid: c\n\n", "id: b\n\n"}, want: "id: a\n\nid: c\n\nid: b\n\n", continues: true},
 		{name: "comments", after: "1", responses: []string{": ping\n\n", ": ping\n\n" + two}, want: ": ping\n\n: ping\n\n" + two, continues: true},
 	}
--- a/internal/wire/eventstream/event.go
+++ b/internal/wire/eventstream/event.go
@@ -11,10 +11,15 @@
 	// ID is the event's ID; an event without one leaves HasID unset.
 	ID    string
 	HasID bool
+	// IsError is set if the event is of the type that names an error.
+	IsError bool
 	// IsFiller is set for blank lines and comments between events.
 	IsFiller bool
 }
 
+// errorType is the type of an event with which a target reports an error.
+const errorType = "error"
+
 // split cuts text that ends between two events into its events and what is between them.
 func split(text []byte) []Event {
 	var list []Event
@@ -40,6 +45,9 @@
 			if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 				e.ID, e.HasID = strings.TrimSpace(string(value)), true
 			}
+			if value, ok := bytes.CutPrefix(line, []byte("event:")); ok {
+				e.IsError = string(bytes.TrimSpace(value)) == errorType
+			}
 		}
 		at = end
 	}
--- a/internal/wire/eventstream/place.go
+++ b/internal/wire/eventstream/place.go
@@ -20,6 +20,8 @@
 	Gap Verdict = "gap"
 	// Unnamed is the first event of a continued stream if its ID cannot be compared with the caller's place.
 	Unnamed Verdict = "unnamed"
+	// Failed is an error in place of the first event with which a target was to continue a stream.
+	Failed Verdict = "error"
 )
 
 // Place is how far a caller has a stream; the zero value is its start.
@@ -45,6 +47,9 @@
 // CanContinue reports whether the ID names the caller's place, so that another target can continue the stream.
 func (p Place) CanContinue() bool { return !p.isUnnamed }
 
+// hasEvent reports whether the caller's last event was passed to it here.
+func (p Place) hasEvent() bool { return p.text != nil }
+
 // Judge returns what becomes of an event; begins is set for the first event of a response.
 func (p Place) Judge(e Event, begins bool) Verdict {
 	switch {
@@ -54,7 +59,7 @@
 		return unlessBegins(begins)
 	case e.ID == p.id:
 		// A target that starts again from the first event of a stream cannot be told from one that repeats the last event.
-		if p.text != nil && bytes.Equal(trimLineEndings(e.Text), p.text) && !(begins && p.isFirst) {
+		if p.hasEvent() && bytes.Equal(trimLineEndings(e.Text), p.text) && !(begins && p.isFirst) {
 			return Repeated
 		}
 		return Behind
