Follow no redirect of a target

Cause: the client of the product's own targets followed redirects, as Go's client does unless told otherwise. An attempt went on to the address that a target named, for 307 and 308 with its body, without that target's limit, lease and fencing token, and events from there reached the caller. A stage that may not be repeated could run twice. Change: a redirect is an answer like any other status: the attempt has failed and may have run.

--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -138,13 +138,21 @@
 	}
 	alone := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
 	tc = &targetConns{
-		transport: transport, http: httpc.NewServiceWithClient(clientName, &http.Client{Transport: transport}),
-		alone: httpc.NewServiceWithClient(clientName, &http.Client{Transport: alone}),
+		transport: transport, http: newService(transport),
+		alone: newService(alone),
 	}
 	c.conns[address] = tc
 	return tc
 }
 
+// newService returns a client that follows no redirects: an attempt goes to the target that was chosen for it, and nowhere else.
+func newService(t *http.Transport) httpc.Service {
+	return httpc.NewServiceWithClient(clientName, &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	})
+}
+
 // discardConns closes the idle connections to address and makes later attempts open new ones: if one connection stalls,
 // the others may be stalled too.
 func (c *Client) discardConns(address string, tc *targetConns) {
