Take no line without data for an event

Cause: a line of a target of the product's own protocol that had the number of the next event and no data, such as a line with an error, counted as that event. Callers got an event with nothing in it, and the stream could end as answered. Change: such a line fails the attempt; another one goes on after the last event. Result: failed before: TestAnswerInPlaceOfStreamIsIncomplete/event_without_data got event 3 and a complete result. After: passes, as do all tests of the package. An end without an output stays an end, as tests of the protocol have it.

--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -303,6 +303,9 @@
 		if m.N > next {
 			return nil, 0, merry.Errorf("event %d came in place of %d", m.N, next)
 		}
+		if m.Data == nil {
+			return nil, 0, merry.Errorf("event %d has no data", m.N)
+		}
 		if err := r.onEvent(m.N, m.Data); err != nil {
 			return nil, 0, err
 		}
--- a/internal/wire/backend/refused_resume_test.go
+++ b/internal/wire/backend/refused_resume_test.go
@@ -27,6 +27,7 @@
 		"text":                 "HTTP/1.1 200 OK\r\nAttempt: a\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nboom\n",
 		"nothing":              "HTTP/1.1 200 OK\r\nAttempt: a\r\nContent-Length: 0\r\n\r\n",
 		"error":                "HTTP/1.1 200 OK\r\nAttempt: a\r\n\r\n" + `{"attempt":"a","error":"boom"}` + "\n",
+		"event without data":   "HTTP/1.1 200 OK\r\nAttempt: a\r\n\r\n" + `{"attempt":"a","n":3,"error":"boom"}` + "\n" + `{"attempt":"a","end":true,"n":3,"output":1}` + "\n",
 		"end before its place": "HTTP/1.1 200 OK\r\nAttempt: a\r\n\r\n" + `{"attempt":"a","end":true,"n":1,"output":1}` + "\n",
 	}
 	frames := map[string]string{
