Cut a followed stream whose outcome cannot be had

Cause: a caller may follow a request of the product's own pipelines at any node. When the node that runs it was lost midway, the other one ended the response in good order: with a last chunk, or for HTTP/1.0 with the end of the connection. Only the missing outcome event told that it was not complete. go-zero's recovery from panics answers http.ErrAbortHandler with such an end as well. The handler's dependencies move to a Config, which also has the log. Conclusion: what a caller has begun to receive of the product's own streams ends with its outcome or is cut visibly.

--- a/internal/bench/testbed/caller_test.go
+++ b/internal/bench/testbed/caller_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -227,3 +228,43 @@
 		t.Errorf("got %q after %d events, want answered after %d", end.Outcome, len(parts), StreamEvents)
 	}
 }
+
+// TestFollowedStreamIsCutWhenItsNodeIsLost covers a caller that follows a request at another node than the one which runs it: without
+// its outcome the stream does not end as complete.
+func TestFollowedStreamIsCutWhenItsNodeIsLost(t *testing.T) {
+	b := start(t, Config{WarmTargets: true})
+	for _, e := range b.Targets("letters") {
+		e.SetFaults(engine.Faults{AddedLatency: 3 * time.Second})
+	}
+	coordinator, follower := b.Node("maipo-1").Process.CallerAddress(), b.Node("mapocho-1").Process.CallerAddress()
+	data, _ := json.Marshal(callerapi.RunRequest{Team: "keepers", Stream: true, Input: Input("o")})
+	resp, err := http.Post("http://"+coordinator+"/v1/pipelines/letter", "application/json", bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	id, _, _ := readEvents(t, resp.Body, 1)
+	resp.Body.Close()
+	var conns []net.Conn
+	for _, version := range []string{"1.0", "1.1"} {
+		c, err := net.Dial("tcp", follower)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "GET /v1/requests/%s/events HTTP/%s\r\nHost: x\r\n\r\n", id, version)
+		conns = append(conns, c)
+	}
+	time.Sleep(100 * time.Millisecond)
+	b.KillNode("maipo-1")
+	for i, c := range conns {
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(resp.Body)
+		if err == nil && !strings.Contains(string(got), "event: outcome") {
+			t.Errorf("HTTP/1.%d: got %q as complete, want a cut", i, got)
+		}
+	}
+}
--- a/internal/operator/process/process.go
+++ b/internal/operator/process/process.go
@@ -134,7 +134,7 @@
 	if p.node, err = node.New(cfg); err != nil {
 		return err
 	}
-	h, err := callerapi.NewHandler(p.node, int64(s.Caller.MaxBody), time.Now)
+	h, err := callerapi.NewHandler(callerapi.Config{Node: p.node, MaxBodyBytes: int64(s.Caller.MaxBody), Now: time.Now, Log: p.cfg.Log})
 	if err != nil {
 		return err
 	}
--- a/internal/wire/callerapi/events.go
+++ b/internal/wire/callerapi/events.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/request"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/transport"
 )
 
 // eventWriter writes server-sent events, and comments at an interval so that a stalled connection is noticed.
@@ -44,6 +45,13 @@
 	e.wg.Wait()
 }
 
+// cut ends the stream so that it does not look complete.
+func (e *eventWriter) cut(r *http.Request) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return transport.Cut(e.w, r)
+}
+
 func (e *eventWriter) write(text string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/wire/callerapi/server.go
+++ b/internal/wire/callerapi/server.go
@@ -11,12 +11,14 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/duration"
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/validation"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/node"
+	"github.com/lacewingdrift/lacewingdrift/internal/operator/logging"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/outcome"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/request"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/transport"
@@ -36,17 +38,25 @@
 	keepaliveInterval = 5 * time.Second
 )
 
+// Config holds the dependencies of the callers' API and its bounds.
+type Config struct {
+	Node *node.Node
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64
+	Now          func() time.Time
+	Log          *logrus.Logger
+}
+
 // server serves the callers of one node.
 type server struct {
-	node         *node.Node
-	maxBodyBytes int64
-	now          func() time.Time
+	Config
+	log logging.ComponentLogger
 }
 
-// NewHandler returns the handler of the callers' API, which accepts request bodies of up to maxBodyBytes.
-func NewHandler(n *node.Node, maxBodyBytes int64, now func() time.Time) (http.Handler, error) {
-	s := &server{node: n, maxBodyBytes: maxBodyBytes, now: now}
-	metrics := n.Meter().Handler()
+// NewHandler returns the handler of the callers' API.
+func NewHandler(cfg Config) (http.Handler, error) {
+	s := &server{Config: cfg, log: logging.NewComponentLogger(cfg.Log, "caller")}
+	metrics := cfg.Node.Meter().Handler()
 	return transport.NewHandler("caller", []rest.Route{
 		{Method: http.MethodPost, Path: "/v1/pipelines/:name", Handler: s.run},
 		{Method: http.MethodGet, Path: "/v1/requests/:id", Handler: s.lookup},
@@ -71,7 +81,7 @@
 		writeInvalid(w, code, violations)
 		return
 	}
-	id, log := s.node.Coordinator().Start(body.request(s.now(), pathvar.Vars(r)["name"]))
+	id, log := s.Node.Coordinator().Start(body.request(s.Now(), pathvar.Vars(r)["name"]))
 	if body.Stream {
 		s.stream(w, r, id, 0)
 		return
@@ -85,10 +95,10 @@
 
 // readBody returns a request's parsed body, or its violations and the HTTP status to send with them.
 func (s *server) readBody(w http.ResponseWriter, r *http.Request) (RunRequest, validation.Violations, int) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.maxBodyBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		text := fmt.Sprintf("is over the bound of %d bytes", s.maxBodyBytes)
+		text := fmt.Sprintf("is over the bound of %d bytes", s.MaxBodyBytes)
 		return RunRequest{}, validation.Violations{{Kind: "request", Field: "body", Text: text}}, http.StatusRequestEntityTooLarge
 	}
 	if err != nil {
@@ -157,19 +167,31 @@
 	events := newEventWriter(w)
 	defer events.close()
 	events.send("accepted", "", Response{ID: id})
-	record, err := s.node.FollowRequest(r.Context(), id, after, func(e request.Event) error {
+	record, err := s.Node.FollowRequest(r.Context(), id, after, func(e request.Event) error {
 		return events.sendPart(e)
 	})
 	if errors.Is(err, node.ErrUnknownRequest) {
 		record, err = unknownRequest(), nil
 	}
 	if err != nil {
-		// A stream that ends without an outcome tells the caller to resume it.
+		s.cut(r, id, events, err)
 		return
 	}
 	events.send("outcome", "", Response{ID: id, Record: record})
 }
 
+// cut ends a stream without an outcome, which its caller may resume.
+func (s *server) cut(r *http.Request, id string, events *eventWriter, cause error) {
+	if r.Context().Err() != nil {
+		return
+	}
+	log := s.log.With("request", id)
+	log.Warn("stream was cut before its outcome", cause)
+	if err := events.cut(r); err != nil {
+		log.Warn("cutting a stream failed; it looks complete", err)
+	}
+}
+
 func unknownRequest() outcome.Record {
 	return outcome.ToRecord(outcome.Unknown{Reason: outcome.Lost, Text: "the request is not known, or its node is gone"})
 }
@@ -210,7 +232,7 @@
 	// Reading a finished request returns at once; only a running one takes up to the timeout.
 	ctx, cancel := context.WithTimeout(r.Context(), d+lookupTimeout)
 	defer cancel()
-	record, err := s.node.FollowRequest(ctx, id, math.MaxUint64, func(request.Event) error { return nil })
+	record, err := s.Node.FollowRequest(ctx, id, math.MaxUint64, func(request.Event) error { return nil })
 	switch {
 	case errors.Is(err, node.ErrUnknownRequest):
 		writeJSON(w, http.StatusNotFound, Response{ID: id, Record: unknownRequest()})
@@ -232,13 +254,13 @@
 		return
 	}
 	vars := pathvar.Vars(r)
-	writeRecord(w, "", outcome.ToRecord(s.node.Coordinator().Find(r.Context(), vars["team"], vars["key"], d)))
+	writeRecord(w, "", outcome.ToRecord(s.Node.Coordinator().Find(r.Context(), vars["team"], vars["key"], d)))
 }
 
 func (s *server) checkHealth(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
 
 func (s *server) checkReady(w http.ResponseWriter, _ *http.Request) {
-	if !s.node.Ready() {
+	if !s.Node.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
