Find the head of a response within a stream

Cause: a target broke its stream off and answered with an error on the same connection. In a body without chunks that answer is only more text: its head, read as an event without an ID, and its body reached the caller, and the stream could end as complete. Only a second response with the request's own ID was found. Change: an event or comment with a status line, or with a field that only heads have, is held (verdict response); another target is asked or the stream is cut. If the head begins within an event, that event is due. Not found: a head without any of these fields that begins within a line.

--- a/internal/wire/eventstream/assembler.go
+++ b/internal/wire/eventstream/assembler.go
@@ -1,6 +1,7 @@
 package eventstream
 
 import (
+	"bytes"
 	"slices"
 
 	"github.com/ansel1/merry/v2"
@@ -75,6 +76,9 @@
 			continue
 		}
 		p.Held = append(p.Held, Held{ID: e.ID, Verdict: verdict})
+		if verdict == Response && !e.IsFiller && !bytes.HasPrefix(e.Text, statusLinePrefix) {
+			a.isEventDue = true
+		}
 		// What follows is not the caller's stream and tells nothing of it.
 		a.pending = nil
 		return a, p, merry.Prependf(ErrNotContinued, "event %q (%s), caller has %q", e.ID, verdict, a.Place.ID())
@@ -84,6 +88,9 @@
 
 // judge returns what becomes of an event of the current response.
 func (a Assembler) judge(e Event) Verdict {
+	if e.HasHead {
+		return Response
+	}
 	if e.IsError && !a.hasPassed && a.Place.hasEvent() {
 		return Failed
 	}
--- a/internal/wire/eventstream/assembler_test.go
+++ b/internal/wire/eventstream/assembler_test.go
@@ -43,6 +43,10 @@
 		{name: "error for a caller that resumes", after: "1", responses: []string{"id: 2\nevent: error\n\n"}, want: "id: 2\nevent: error\n\n", continues: true},
 		{name: "error at the start", responses: []string{"event: error\n\n"}, want: "event: error\n\n"},
 		{name: "other type", responses: []string{one + two, "event: errors\nid: 3\n\n"}, want: one + two + "event: errors\nid: 3\n\n", continues: true},
+		{name: "head of a response", responses: []string{one + two + "HTTP/1.1 500 X\r\nA: b\r\n\r\nboom\n\n"}, want: one + two, held: []Verdict{Response}, broken: true, continues: true},
+		{name: "head of a response in an event", responses: []string{one + "id: 2\ndaHTTP/1.1 500 X\r\ncontent-length: 4\r\n\r\nboom"}, want: one, held: []Verdict{Response}, broken: true, continues: true},
+		{name: "head of a response in a comment", responses: []string{one + ": piHTTP/1.1 500 X\r\n", "\r\n"}, want: one + "\r\n", held: []Verdict{Response}, continues: true},
+		{name: "head of a response in the data", responses: []string{one + "id: 2\ndata: HTTP/1.1 200 OK\ndata: Date: now\n\n"}, want: one + "id: 2\ndata: HTTP/1.1 200 OK\ndata: Date: now\n\n", continues: true},
 		{name: "IDs that are no numbers", responses: []string{"id: a\n\nid: c\n\n", "id: b\n\n"}, want: "id: a\n\nid: c\n\nid: b\n\n", continues: true},
 		{name: "comments", after: "1", responses: []string{": ping\n\n", ": ping\n\n" + two}, want: ": ping\n\n: ping\n\n" + two, continues: true},
 	}
@@ -89,6 +93,8 @@
 		{name: "next event after a response without one", responses: []string{one + "id: 2\nda", "", two}, complete: true},
 		{name: "cut between events", responses: []string{one + two, ""}, complete: true},
 		{name: "cut in a comment", responses: []string{one + ": pi", ""}, complete: true},
+		{name: "nothing follows a head in an event", responses: []string{one + "id: 2\ndaHTTP/1.1 500 X\nDate: now\n\n", ""}},
+		{name: "nothing follows a head between events", responses: []string{one + "HTTP/1.1 500 X\n\n", ""}, complete: true},
 		{name: "begun by a response that was not used", responses: []string{one + two, one + "id: 2\nda", ""}, complete: true},
 	}
 	for _, tt := range tests {
--- a/internal/wire/eventstream/event.go
+++ b/internal/wire/eventstream/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 )
 
@@ -13,6 +14,8 @@
 	HasID bool
 	// IsError is set if the event is of the type that names an error.
 	IsError bool
+	// HasHead is set if a line belongs to the head of an HTTP response.
+	HasHead bool
 	// IsFiller is set for blank lines and comments between events.
 	IsFiller bool
 }
@@ -36,12 +39,15 @@
 		switch {
 		case len(line) == 0 && !e.IsFiller:
 			add(end)
-		case len(line) == 0 || line[0] == ':':
+		case len(line) == 0:
+		case line[0] == ':':
+			e.HasHead = e.HasHead || bytes.Contains(line, statusLinePrefix)
 		default:
 			if e.IsFiller {
 				add(at)
 				e.IsFiller = false
 			}
+			e.HasHead = e.HasHead || isHeadLine(line)
 			if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 				e.ID, e.HasID = strings.TrimSpace(string(value)), true
 			}
@@ -55,6 +61,22 @@
 	return list
 }
 
+// statusLinePrefix begins the first line of a response.
+var statusLinePrefix = []byte("HTTP/1.")
+
+// headNames are the header fields of which a response has one at least; streams of events have no fields of these names.
+var headNames = []string{"Connection", "Content-Length", "Content-Type", "Date", "Transfer-Encoding"}
+
+// isHeadLine reports whether a line of a stream belongs to the head of a response. A status line behind a part of another line is not
+// recognised, but the fields that follow it are.
+func isHeadLine(line []byte) bool {
+	if bytes.HasPrefix(line, statusLinePrefix) {
+		return true
+	}
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	return ok && slices.ContainsFunc(headNames, func(n string) bool { return strings.EqualFold(n, string(name)) })
+}
+
 // cutLine returns the line that begins at an index, and the index behind its line ending: LF, CRLF or CR.
 func cutLine(text []byte, at int) (line []byte, end int) {
 	n := bytes.IndexAny(text[at:], "\r\n")
--- a/internal/wire/eventstream/place.go
+++ b/internal/wire/eventstream/place.go
@@ -22,6 +22,8 @@
 	Unnamed Verdict = "unnamed"
 	// Failed is an error in place of the first event with which a target was to continue a stream.
 	Failed Verdict = "error"
+	// Response is the head of another response: the target has broken the stream off and answers anew.
+	Response Verdict = "response"
 )
 
 // Place is how far a caller has a stream; the zero value is its start.
