Take no second answer with another status for the end of the first

Cause: a target broke off a response that ends with its connection, and answered with an error and the request's ID on the same connection. The body ended where that answer began, as for a second copy of the response, so a stream that had stopped between two events looked complete. Change: a second response with another status is no copy; the first one is cut there.

--- a/internal/wire/connection/copy.go
+++ b/internal/wire/connection/copy.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 )
@@ -18,6 +19,8 @@
 type copyFilter struct {
 	body  io.ReadCloser
 	isOwn func(http.Header) bool
+	// status is that of the first response; a second one with another status is no copy. 0 takes any for a copy.
+	status int
 	// ready is body that may be read, pending what may begin a second response.
 	ready, pending []byte
 	err            error
@@ -31,7 +34,7 @@
 		f.err = err
 		length, isCopy := bodyLength(f.pending, f.isOwn)
 		if isCopy {
-			f.err = io.EOF
+			f.err = f.endError(f.pending[length:])
 		} else if err != nil {
 			length = len(f.pending)
 		}
@@ -45,6 +48,20 @@
 	return n, f.err
 }
 
+var errAnsweredAgain = errors.New("target broke the response off and answered again")
+
+// endError returns the error with which the body ends where a second response begins.
+func (f *copyFilter) endError(second []byte) error {
+	if f.status == 0 {
+		return io.EOF
+	}
+	head, _ := responseHead(second)
+	if resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil); err != nil || resp.StatusCode != f.status {
+		return errAnsweredAgain
+	}
+	return io.EOF
+}
+
 // Close closes the body.
 func (f *copyFilter) Close() error { return f.body.Close() }
 
--- a/internal/wire/connection/copy_test.go
+++ b/internal/wire/connection/copy_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/iotest"
 )
@@ -32,6 +33,23 @@
 	}
 }
 
+// TestCopyFilterFailsAtOtherStatus covers a second response that is no copy of the first one: its target has broken that one off.
+func TestCopyFilterFailsAtOtherStatus(t *testing.T) {
+	tests := []struct {
+		name, second string
+		complete     bool
+	}{
+		{name: "same status", second: "HTTP/1.1 200 OK\r\nCall: own\r\n\r\nhello", complete: true},
+		{name: "other status", second: "HTTP/1.1 500 Internal Server Error\r\nCall: own\r\n\r\nboom"},
+	}
+	for _, tt := range tests {
+		got, err := io.ReadAll(&copyFilter{body: io.NopCloser(strings.NewReader("hello" + tt.second)), isOwn: isOwnCall, status: http.StatusOK})
+		if string(got) != "hello" || (err == nil) != tt.complete {
+			t.Errorf("%s: got %q (%v), want the first body, complete %t", tt.name, got, err, tt.complete)
+		}
+	}
+}
+
 // FuzzCopyFilter checks that the body does not depend on how its bytes arrive, and that nothing but a second response is left out.
 func FuzzCopyFilter(f *testing.F) {
 	f.Add([]byte("helloHTTP/1.1 200 OK\r\nCall: own\r\n\r\nhello"), 3)
--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -296,7 +296,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
 	if framing(resp) == FramedByClose && r.IsOwn != nil {
-		resp.Body = &copyFilter{body: resp.Body, isOwn: r.IsOwn}
+		resp.Body = &copyFilter{body: resp.Body, isOwn: r.IsOwn, status: resp.StatusCode}
 	}
 	b := &responseBody{pool: p, address: address, conn: c, resp: resp, sent: sent, stopCancel: stop, isAlone: r.IsAlone}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Framing: framing(resp)}, nil
