--- a/internal/wire/eventstream/assembler.go
+++ b/internal/wire/eventstream/assembler.go
@@ -1,6 +1,7 @@
 package eventstream
 
 import (
+	"bytes"
 	"slices"
 
 	"github.com/ansel1/merry/v2"
@@ -16,13 +17,19 @@
 	pending []byte
 	// hasBegun is set once the current response has brought an event.
 	hasBegun bool
+	// hasPassed is set once an event of the current response has been passed.
+	hasPassed bool
+	// isEventDue is set if an earlier response ended inside an event and none has been passed since.
+	isEventDue bool
 }
 
 // NewAssembler returns the assembler of a caller that has all events up to one with an ID, "" for none.
 func NewAssembler(after string) Assembler { return Assembler{Place: PlaceAfter(after)} }
 
 // WithResponse returns the assembler at the start of another response.
-func (a Assembler) WithResponse() Assembler { return Assembler{Place: a.Place} }
+func (a Assembler) WithResponse() Assembler {
+	return Assembler{Place: a.Place, isEventDue: a.isEventDue || (a.Response.InEvent && len(a.pending) > 0)}
+}
 
 // Passed is what a read of a response brings.
 type Passed struct {
@@ -55,22 +62,52 @@
 	a.pending = slices.Clone(whole[before+boundary:])
 	var p Passed
 	for _, e := range split(whole[:before+boundary]) {
-		verdict := a.Place.Judge(e, !a.hasBegun)
+		verdict := a.judge(e)
 		a.hasBegun = a.hasBegun || !e.IsFiller
 		switch verdict {
 		case Pass:
 			p.Text = append(p.Text, e.Text...)
 			a.Place = a.Place.With(e)
+			a.hasPassed = a.hasPassed || !e.IsFiller
+			a.isEventDue = a.isEventDue && e.IsFiller
 			continue
 		case Repeated:
 			p.Held = append(p.Held, Held{ID: e.ID, Verdict: verdict})
 			continue
 		}
 		p.Held = append(p.Held, Held{ID: e.ID, Verdict: verdict})
+		if verdict == Response && !e.IsFiller && !bytes.HasPrefix(e.Text, statusLinePrefix) {
+			a.isEventDue = true
+		}
+		// What follows is not the caller's stream and tells nothing of it.
+		a.pending = nil
 		return a, p, merry.Prependf(ErrNotContinued, "event %q (%s), caller has %q", e.ID, verdict, a.Place.ID())
 	}
 	return a, p, nil
 }
 
+// judge returns what becomes of an event of the current response.
+func (a Assembler) judge(e Event) Verdict {
+	if e.HasHead {
+		return Response
+	}
+	if e.IsError && !a.hasPassed && a.Place.hasEvent() {
+		return Failed
+	}
+	return a.Place.Judge(e, !a.hasBegun)
+}
+
+// EndError returns why the current response, which ended without a read error, does not complete the stream, or nil if it may;
+// explicit is as for Progress.
+func (a Assembler) EndError(explicit bool) error {
+	if err := a.Response.EndError(explicit); err != nil {
+		return err
+	}
+	if a.isEventDue {
+		return merry.Prepend(ErrNotContinued, "ended before an event that an earlier response had begun")
+	}
+	return nil
+}
+
 // Rest returns what a response that has ended has sent behind its last complete event.
 func (a Assembler) Rest() []byte { return a.pending }
--- a/internal/wire/eventstream/assembler_test.go
+++ b/internal/wire/eventstream/assembler_test.go
@@ -37,6 +37,16 @@
 		{name: "no IDs", responses: []string{"data: a\n\ndata: b\n\n"}, want: "data: a\n\ndata: b\n\n"},
 		{name: "event without an ID behind others", responses: []string{one + "data: end\n\n"}, want: one + "data: end\n\n"},
 		{name: "continued without an ID", responses: []string{one + two, "data: c\n\n"}, want: one + two, held: []Verdict{Unnamed}, broken: true, continues: true},
+		{name: "continued with an error", responses: []string{one + two, "id: 3\nevent: error\ndata: c\n\n" + three}, want: one + two, held: []Verdict{Failed}, broken: true, continues: true},
+		{name: "continued with an error behind the last event", responses: []string{one + two, ": ping\n\n" + two + "event:error\n\n"}, want: one + two + ": ping\n\n", held: []Verdict{Repeated, Failed}, broken: true, continues: true},
+		{name: "error behind an event of the same response", responses: []string{one + two, three + "event: error\n\n"}, want: one + two + three + "event: error\n\n"},
+		{name: "error for a caller that resumes", after: "1", responses: []string{"id: 2\nevent: error\n\n"}, want: "id: 2\nevent: error\n\n", continues: true},
+		{name: "error at the start", responses: []string{"event: error\n\n"}, want: "event: error\n\n"},
+		{name: "other type", responses: []string{one + two, "event: errors\nid: 3\n\n"}, want: one + two + "event: errors\nid: 3\n\n", continues: true},
+		{name: "head of a response", responses: []string{one + two + "HTTP/1.1 500 X\r\nA: b\r\n\r\nboom\n\n"}, want: one + two, held: []Verdict{Response}, broken: true, continues: true},
+		{name: "head of a response in an event", responses: []string{one + "id: 2\ndaHTTP/1.1 500 X\r\ncontent-length: 4\r\n\r\nboom"}, want: one, held: []Verdict{Response}, broken: true, continues: true},
+		{name: "head of a response in a comment", responses: []string{one + ": piHTTP/1.1 500 X\r\n", "\r\n"}, want: one + "\r\n", held: []Verdict{Response}, continues: true},
+		{name: "head of a response in the data", responses: []string{one + "id: 2\ndata: HTTP/1.1 200 OK\ndata: Date: now\n\n"}, want: one + "id: 2\ndata: HTTP/1.1 200 OK\ndata: Date: now\n\n", continues: true},
 		{name: "IDs that are no numbers", responses: []string{"id: a\n\nid: c\n\n", "id: b\n\n"}, want: "id: a\n\nid: c\n\nid: b\n\n", continues: true},
 		{name: "comments", after: "1", responses: []string{": ping\n\n", ": ping\n\n" + two}, want: ": ping\n\n: ping\n\n" + two, continues: true},
 	}
@@ -66,6 +76,40 @@
 	}
 }
 
+// TestEventThatWasBegunIsDue covers responses that end between two events while an earlier one has ended inside an event.
+func TestEventThatWasBegunIsDue(t *testing.T) {
+	const one, two = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	tests := []struct {
+		name, after string
+		responses   []string
+		complete    bool
+	}{
+		{name: "nothing follows", responses: []string{one + "id: 2\nda", ""}},
+		{name: "nothing follows the caller's place", after: "1", responses: []string{"id: 2\nda", ""}},
+		{name: "comment", responses: []string{one + "id: 2\nda", ": ping\n\n"}},
+		{name: "last event again", responses: []string{one + two + "id: 3", two}},
+		{name: "two responses later", responses: []string{one + "id: 2", "", ""}},
+		{name: "next event", responses: []string{one + "id: 2\nda", two}, complete: true},
+		{name: "next event after a response without one", responses: []string{one + "id: 2\nda", "", two}, complete: true},
+		{name: "cut between events", responses: []string{one + two, ""}, complete: true},
+		{name: "cut in a comment", responses: []string{one + ": pi", ""}, complete: true},
+		{name: "nothing follows a head in an event", responses: []string{one + "id: 2\ndaHTTP/1.1 500 X\nDate: now\n\n", ""}},
+		{name: "nothing follows a head between events", responses: []string{one + "HTTP/1.1 500 X\n\n", ""}, complete: true},
+		{name: "begun by a response that was not used", responses: []string{one + two, one + "id: 2\nda", ""}, complete: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := NewAssembler(tt.after)
+			for _, response := range tt.responses {
+				a, _, _ = a.WithResponse().With([]byte(response))
+			}
+			if err := a.EndError(true); (err == nil) != tt.complete {
+				t.Errorf("got %v, want complete %t", err, tt.complete)
+			}
+		})
+	}
+}
+
 // streamText returns the events of a run from one number to the last one; CR, LF or CRLF ends its lines.
 func streamText(run byte, from, last int, lineEnding string) string {
 	var b strings.Builder
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -25,8 +25,9 @@
 // responseWriter writes the response of one request to its caller.
 type responseWriter struct {
 	w http.ResponseWriter
-	// headerSent is set once the header has been sent.
+	// headerSent is set once the header has been sent, status is its status.
 	headerSent bool
+	status     int
 	// assembler is the stream as far as the caller has it.
 	assembler eventstream.Assembler
 	// stopMove is called with the response's first bytes and keeps the request at its target; it may be nil. onFirstByte is also
@@ -106,8 +107,10 @@
 	return resp.Framing == connection.FramedByClose && rw.hasCrashed()
 }
 
-// hasEvents reports whether a response on a streaming route is a stream of events. Targets may omit the content type there.
-func hasEvents(h http.Header) bool { return h.Get("Content-Type") == "" || eventstream.IsStream(h) }
+// hasEvents reports whether a response on a streaming route is a stream of events. Targets may omit the content type of a 200 there.
+func hasEvents(resp *connection.Response) bool {
+	return eventstream.IsStream(resp.Header) || (resp.Status == http.StatusOK && resp.Header.Get("Content-Type") == "")
+}
 
 // bufferedResponse is a complete response of a target.
 type bufferedResponse struct {
@@ -187,7 +190,7 @@
 	if rw.headerSent {
 		return
 	}
-	rw.headerSent = true
+	rw.headerSent, rw.status = true, resp.Status
 	rw.onStart()
 	copyHeader(rw.w, resp.Header)
 	rw.w.Header().Del("Content-Length")
--- a/internal/wire/gateway/stream.go
+++ b/internal/wire/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -14,7 +15,7 @@
 
 // stream passes the complete events of a response on as they arrive. Another target may continue a resumable stream after them.
 func (rw *responseWriter) stream(ctx context.Context, r *http.Request, resp *connection.Response, resumable bool) sendResult {
-	if !hasEvents(resp.Header) {
+	if !hasEvents(resp) {
 		return rw.copyBody(ctx, r, resp)
 	}
 	rw.assembler = rw.assembler.WithResponse()
@@ -47,7 +48,7 @@
 			continue
 		}
 		if err == io.EOF {
-			err = rw.assembler.Response.EndError(resp.Framing != connection.FramedByClose)
+			err = rw.assembler.EndError(resp.Framing != connection.FramedByClose)
 			if err == nil && rw.endsWithCrash(resp) {
 				err = errCrashed
 			}
@@ -63,6 +64,16 @@
 	}
 }
 
+// resume goes on with a stream that the caller has begun to receive. Nothing of a response that is not the same stream reaches the
+// caller.
+func (rw *responseWriter) resume(ctx context.Context, r *http.Request, resp *connection.Response) sendResult {
+	if resp.Status != rw.status || !hasEvents(resp) {
+		reason := fmt.Sprintf("stream was not resumed: status %d, content type %q", resp.Status, resp.Header.Get("Content-Type"))
+		return sendResult{fallback: &outcome{kind: truncated, cause: causeNotResumed, reason: reason, abort: true}, mayHaveRun: true, countsAsAttempt: true}
+	}
+	return rw.stream(ctx, r, resp, true)
+}
+
 // passEvents passes on what data completes. failure is set if the response cannot be used further, err if the caller has left, or
 // errStopping if the response may not begin.
 func (rw *responseWriter) passEvents(resp *connection.Response, data []byte) (failure, err error) {
