Read lists and events of objects without reading their values

Cause: the object client decoded a whole list, event or conflict with encoding/json, which refuses text nested deeper than 10,000. A value that is just below the limit alone is above it within a list or an event, so one object of any writer failed the list and the watch of its kind for every node, and the informer repeated both.

Change: object.Fields and object.Elements split JSON text without reading the values and without recursion; the client reads the fields that the platform sets and copies each value as it was sent.

Measured: TestDeepValueCostsOnlyItself failed before in get, list and watch ("exceeded max depth", 0 objects, no event) and passes. FuzzFields compares the split with encoding/json for all that the latter reads: 15 s and 10 s of fuzzing, nothing found.

Conclusion: a value costs only itself on the product's own platform.

--- a/internal/platform/object/client.go
+++ b/internal/platform/object/client.go
@@ -156,11 +156,10 @@
 	if r.status != http.StatusOK && r.status != http.StatusConflict {
 		return Object{}, merry.Errorf("%s %s/%s: status %d: %.100s", op, kind, name, r.status, r.body)
 	}
-	var o Object
-	if err := json.Unmarshal(r.body, &o); err != nil {
+	o, err := parseObject(r.era, r.body)
+	if err != nil {
 		return Object{}, merry.Prependf(err, "%s %s/%s", op, kind, name)
 	}
-	o.Version = NewVersion(r.era, o.Version.Revision())
 	if r.status == http.StatusConflict {
 		return Object{}, &ConflictError{Current: o}
 	}
@@ -176,15 +175,11 @@
 	}
 	var l List
 	if err == nil {
-		err = json.Unmarshal(r.body, &l)
+		l, err = parseList(r.era, r.body)
 	}
 	if err != nil {
 		return List{}, merry.Prependf(err, "list %s", kind)
 	}
-	l.Version = NewVersion(r.era, l.Version.Revision())
-	for i, o := range l.Items {
-		l.Items[i].Version = NewVersion(r.era, o.Version.Revision())
-	}
 	return l, nil
 }
 
@@ -227,14 +222,13 @@
 			return merry.Prependf(err, "watch %s", kind)
 		}
 		idle.Reset(c.cfg.WatchIdleTimeout)
-		var e Event
-		if err := json.Unmarshal(line, &e); err != nil {
+		e, err := parseEvent(era, line)
+		if err != nil {
 			return merry.Prependf(err, "watch %s", kind)
 		}
 		if c.eras.Latest() != era {
 			return merry.Prependf(ErrEraChanged, "watch %s", kind)
 		}
-		e.Object.Version = NewVersion(era, e.Object.Version.Revision())
 		handle(e)
 	}
 }
