--- a/internal/fleet/quarantine/report.go
+++ b/internal/fleet/quarantine/report.go
@@ -111,6 +111,15 @@
 	return r
 }
 
+// IsOversized reports whether the report has more entries, or more runs in one, than a node writes. A node that has started again
+// joins two reports.
+func (r Report) IsOversized() bool {
+	const reports = 2
+	return len(r.Strikes) > reports*(maxEntries+maxRequestStrikes) || len(r.Verdicts) > reports*(maxEntries+maxRequestVerdicts) || len(r.Clearances) > reports*maxEntries ||
+		slices.ContainsFunc(r.Verdicts, func(v Verdict) bool { return len(v.Runs) > maxEntries }) ||
+		slices.ContainsFunc(r.Clearances, func(c Clearance) bool { return len(c.Runs) > maxEntries })
+}
+
 // WithoutStrikes returns the report without the strikes on a trait by some runs.
 func (r Report) WithoutStrikes(t Trait, runs []notice.Target) Report {
 	r.Strikes = slices.DeleteFunc(slices.Clone(r.Strikes), func(s Strike) bool { return s.Trait == t && slices.Contains(runs, s.Run) })
