Log an object that cannot be parsed once, and when it is readable again

Cause: a line was written for each odd object at every list, and for each write of it, and it repeated what the object holds: 1 MB of a state or of digits was 1 MB of log. With many odd entries the bound of lines a second dropped the lines of requests. Parts of a configuration that are left out were logged at every list too.

Objects without a name are logged and dropped. What a configuration leaves out is logged when it comes into force.

Conclusion: one line an entry. An entry that turns odd, is mended and turns odd again has a line for each time.

--- a/internal/operator/gatewaynode/objects.go
+++ b/internal/operator/gatewaynode/objects.go
@@ -29,18 +29,21 @@
 	}
 	t, violations, err := v.cfg.Platform.ParseTable(o.Value)
 	if err != nil {
-		v.cfg.Log.WithError(err).WithField("revision", o.Version.Revision()).Error("configuration: cannot be parsed, the previous one stays in force")
+		if log := v.noteUnreadable(o, err); log != nil {
+			log.Error("configuration: cannot be parsed, the previous one stays in force")
+		}
 		return
 	}
-	for _, violation := range violations {
-		v.cfg.Log.WithField("version", t.Version).Warn("configuration: ignored: " + violation.String())
-	}
+	v.logReadable(o)
 	if current := v.table.Load(); current != nil && current.Version >= t.Version {
 		if current.Version > t.Version {
 			v.cfg.Log.WithFields(logrus.Fields{"version": t.Version, "in_force": current.Version}).Warn("configuration: older than the one in force")
 		}
 		return
 	}
+	for _, violation := range violations {
+		v.cfg.Log.WithField("version", t.Version).Warnf("configuration: ignored: %.*s", maxLoggedText, violation.String())
+	}
 	if v.table.Swap(t) == nil {
 		close(v.tableLoaded)
 	}
@@ -58,6 +61,7 @@
 			v.logUnreadable(o, err)
 			continue
 		}
+		v.logReadable(o)
 		if t.State == registry.Draining {
 			v.crashes.keeper.RecordPlannedStop(now, t.Run())
 		}
@@ -135,6 +139,7 @@
 		v.logUnreadable(e.Object, err)
 		return registry.Removed{ID: id}
 	}
+	v.logReadable(e.Object)
 	if t.Cold(now) && !before.Cold(now) {
 		v.cfg.Log.WithFields(logrus.Fields{"target": id, "cold_ms": t.ColdUntil.Sub(now).Milliseconds(), "revision": e.Object.Version.Revision()}).Info("fleet: target gets cold")
 	}
@@ -175,10 +180,6 @@
 	})
 }
 
-func (v *fleetView) logUnreadable(o object.Object, err error) {
-	v.cfg.Log.WithError(err).WithFields(logrus.Fields{"object": o.Kind + "/" + o.Name, "revision": o.Version.Revision()}).Warn("store: object cannot be parsed, ignored")
-}
-
 func (v *fleetView) replaceEvacuations(l object.List) {
 	v.mu.Lock()
 	former := v.outOfService
@@ -303,6 +304,7 @@
 		v.logUnreadable(o, err)
 		return
 	}
+	v.logReadable(o)
 	v.mu.Lock()
 	before, known := v.nodes[n.Name]
 	v.nodes[n.Name] = n
--- a/internal/operator/gatewaynode/quarantine.go
+++ b/internal/operator/gatewaynode/quarantine.go
@@ -150,6 +150,7 @@
 		c.node.view.logUnreadable(o, err)
 		return
 	}
+	c.node.view.logReadable(o)
 	c.keeper.Merge(c.node.cfg.Now(), node, r)
 }
 
--- a/internal/operator/gatewaynode/shared_quarantine.go
+++ b/internal/operator/gatewaynode/shared_quarantine.go
@@ -55,6 +55,7 @@
 		s.node.view.logUnreadable(o, err)
 		return
 	}
+	s.node.view.logReadable(o)
 	s.trials = state.Trials
 	now := s.node.cfg.Now()
 	s.keeper.SetKey(now, state.Key)
--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -354,6 +354,7 @@
 	own := v.cached[kind].list()
 	v.mu.Unlock()
 	l = relay.MergeLists(own, l)
+	v.unreadable.retain(kind, l)
 	v.restored = v.noteEra(kind, l)
 	v.cacheList(kind, l)
 	update(l)
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -98,6 +98,8 @@
 	// lastContact is when the store, or a relay in its place, last answered, by kind.
 	lastContact map[string]time.Time
 
+	unreadable unreadableObjects
+
 	// broadcaster forwards changes to the nodes that use this one as their relay.
 	broadcaster snapshot.Broadcaster
 	source      *changeSource
@@ -150,6 +152,8 @@
 func (v *fleetView) replace(kind string, l object.List, update func(object.List)) {
 	v.updateMu.Lock()
 	defer v.updateMu.Unlock()
+	v.unreadable.retain(kind, l)
+	l = v.named(l)
 	v.restored = v.noteEra(kind, l)
 	v.cacheList(kind, l)
 	v.broadcaster.Publish(snapshot.Update{Lists: map[string]object.List{kind: l}})
@@ -160,6 +164,9 @@
 func (v *fleetView) apply(kind string, e object.Event, update func(object.Event)) {
 	v.updateMu.Lock()
 	defer v.updateMu.Unlock()
+	if !v.hasName(e.Object) {
+		return
+	}
 	v.cacheEvent(kind, e)
 	v.broadcaster.Publish(snapshot.Update{Events: []object.Event{e}})
 	update(e)
@@ -209,6 +216,7 @@
 		c.objects[e.Object.Name] = e.Object
 	} else {
 		delete(c.objects, e.Object.Name)
+		v.unreadable.remove(kind, e.Object.Name)
 	}
 }
 
