Do not hold a target whose entry turned odd after an outage

Cause: a list that is read within 1.5 s of an outage holds ready targets that it lacks, since their entries may have expired. A target whose entry was listed and could not be read counted as lacking, and got requests until the hold was over, although such an entry names no target to use.

Change: targets with unreadable entries are removed with the list.

Measured: TestTargetWhoseEntryTurnsOdd failed before in its last step (the request after the list went to the target) and passes.

Conclusion: a target whose entry turns odd gets nothing from the next list or event on, and is used again once its entry is mended or written anew.

--- a/internal/operator/gatewaynode/objects.go
+++ b/internal/operator/gatewaynode/objects.go
@@ -55,10 +55,13 @@
 	v.applyPending()
 	now := v.cfg.Now()
 	var list []registry.Target
+	// A target whose entry cannot be read is not used, while one whose entry is missing may be held.
+	var unreadable []registry.Change
 	for _, o := range l.Items {
 		t, err := v.cfg.Platform.ParseTarget(now, o)
 		if err != nil {
 			v.logUnreadable(o, err)
+			unreadable = append(unreadable, registry.Removed{ID: o.Name})
 			continue
 		}
 		v.logReadable(o)
@@ -68,7 +71,7 @@
 		list = append(list, t)
 	}
 	hold := v.holdUntil(now)
-	v.updateRegistry(func(r *registry.Registry) *registry.Registry { return r.WithTargets(list, hold) })
+	v.updateRegistry(func(r *registry.Registry) *registry.Registry { return r.WithTargets(list, hold).With(unreadable...) })
 	v.scheduleExpiry(now, hold)
 	v.targetsListed.Store(true)
 	v.cfg.Log.WithFields(logrus.Fields{"targets": len(list), "revision": l.Version.Revision()}).Info("fleet: targets listed")
