Do not pass large contents that no node can use on to other nodes

Cause: what a node gives to nodes that start, and to those that follow it, held each object as it was read. Odd entries of up to 1 MB made the message larger than a node receives (16 MB), or too long for the time in which a relay's first message has to come; starting nodes got no lists while the store was away, and followers would turn to the store.

Change: a content above 4 KB is checked before it is kept for others, and dropped if nodes do not use it: unreadable entries and reports, objects of the configuration's kind that are not in force, contents of evacuations, whose names say all.

The way through relays has the same lists and was not measured apart.

Conclusion: what others wrote costs nodes among themselves no more than a name and a revision.

--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -356,7 +356,7 @@
 	l = relay.MergeLists(own, l)
 	v.unreadable.retain(kind, l)
 	v.restored = v.noteEra(kind, l)
-	v.cacheList(kind, l)
+	v.cacheList(kind, v.compactedList(l))
 	update(l)
 }
 
@@ -374,6 +374,6 @@
 	if newer {
 		return
 	}
-	v.cacheEvent(kind, e)
+	v.cacheEvent(kind, object.Event{Type: e.Type, Object: v.compacted(e.Object)})
 	update(e)
 }
--- a/internal/operator/gatewaynode/unreadable.go
+++ b/internal/operator/gatewaynode/unreadable.go
@@ -13,6 +13,9 @@
 const (
 	// maxLoggedText bounds, in characters, what a line of the log repeats of another writer's object.
 	maxLoggedText = 200
+	// maxUncheckedBytes is the size of a content that is passed on to other nodes whether or not they can use it: far above that
+	// of an entry.
+	maxUncheckedBytes = 4 << 10
 )
 
 var errNameless = merry.Sentinel("object has no name")
@@ -106,3 +109,43 @@
 	}
 	return o.Name != ""
 }
+
+// compactedList returns a list with the objects as they are kept for other nodes.
+func (v *fleetView) compactedList(l object.List) object.List {
+	items := make([]object.Object, 0, len(l.Items))
+	for _, o := range l.Items {
+		items = append(items, v.compacted(o))
+	}
+	l.Items = items
+	return l
+}
+
+// compacted returns an object as it is kept for other nodes: without a large content that none of them can use. All nodes that
+// follow a relay, or start while the store is unavailable, would have to receive it in time with all else.
+func (v *fleetView) compacted(o object.Object) object.Object {
+	if len(o.Value) > maxUncheckedBytes && !v.isUsable(o) {
+		o.Value = nil
+	}
+	return o
+}
+
+// isUsable reports whether nodes use the content of an object.
+func (v *fleetView) isUsable(o object.Object) bool {
+	p := v.cfg.Platform
+	var err error
+	switch {
+	case o.Kind == p.ConfigKind:
+		return o.Name == p.ConfigName
+	case o.Kind == p.TargetKind:
+		_, err = p.ParseTarget(v.cfg.Now(), o)
+	case o.Kind == p.EvacuationKind:
+		return false
+	case o.Name == p.QuarantineName:
+		_, err = p.ParseQuarantine(o)
+	case p.CrashReportNode(o.Name) != "":
+		_, err = p.ParseCrashReport(o)
+	default:
+		_, err = p.ParseNode(o)
+	}
+	return err == nil
+}
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -155,8 +155,9 @@
 	v.unreadable.retain(kind, l)
 	l = v.named(l)
 	v.restored = v.noteEra(kind, l)
-	v.cacheList(kind, l)
-	v.broadcaster.Publish(snapshot.Update{Lists: map[string]object.List{kind: l}})
+	kept := v.compactedList(l)
+	v.cacheList(kind, kept)
+	v.broadcaster.Publish(snapshot.Update{Lists: map[string]object.List{kind: kept}})
 	update(l)
 }
 
@@ -167,8 +168,9 @@
 	if !v.hasName(e.Object) {
 		return
 	}
-	v.cacheEvent(kind, e)
-	v.broadcaster.Publish(snapshot.Update{Events: []object.Event{e}})
+	kept := object.Event{Type: e.Type, Object: v.compacted(e.Object)}
+	v.cacheEvent(kind, kept)
+	v.broadcaster.Publish(snapshot.Update{Events: []object.Event{kept}})
 	update(e)
 }
 
