Write a node's entry again when another writer has replaced it

Cause: a node checked its own entry in lists only. When an event showed that another writer had replaced it, the others kept the node and a node that listed afterwards did not know it, until a list was read again: nodes then disagree on who keeps keys, shares of limits and dispatchers.

The others keep a node whose entry cannot be read for 3 s, as after a restore, in lists and events alike, and drop it then.

Conclusion: an odd entry in place of a node's costs one write.

--- a/internal/operator/gatewaynode/era.go
+++ b/internal/operator/gatewaynode/era.go
@@ -10,7 +10,8 @@
 )
 
 // restoreHold is how long data centres out of service and nodes are kept although a store that came back from an older copy
-// no longer lists them: operators and nodes write them again. Targets are held as after an outage.
+// no longer lists them: operators and nodes write them again. Targets are held as after an outage. Nodes are kept as long when
+// another writer has put something else in place of their entries.
 const restoreHold = 3 * time.Second
 
 // noteEra compares a list with the one that is known; it logs and returns true if the store has come back from an older copy
@@ -44,7 +45,7 @@
 	return lost
 }
 
-// holdMissingNodes keeps the nodes that a list of a later era lacks until they have had time to write their entries again.
+// holdMissingNodes keeps the nodes whose entries are gone or cannot be read, until they have had time to write them again.
 // The caller holds mu.
 func (v *fleetView) holdMissingNodes(former map[string]registry.Node) {
 	held := map[string]registry.Node{}
@@ -53,6 +54,11 @@
 			v.nodes[name], held[name] = n, n
 		}
 	}
+	v.expireNodes(held)
+}
+
+// expireNodes drops held nodes unless they have written their entries again by the end of restoreHold.
+func (v *fleetView) expireNodes(held map[string]registry.Node) {
 	if len(held) == 0 {
 		return
 	}
@@ -60,7 +66,7 @@
 		v.mu.Lock()
 		listed := v.cached[v.cfg.Platform.NodeKind]
 		for name, n := range held {
-			if _, ok := listed.objects[name]; !ok && v.nodes[name] == n {
+			if _, err := v.cfg.Platform.ParseNode(listed.objects[name]); err != nil && v.nodes[name] == n {
 				delete(v.nodes, name)
 			}
 		}
@@ -108,15 +114,26 @@
 		return
 	}
 	for _, o := range l.Items {
-		if o.Name != v.cfg.Settings.Name {
-			continue
-		}
-		if n, err := v.cfg.Platform.ParseNode(o); err == nil && n.StartedAt >= own.startedAt {
+		if o.Name == v.cfg.Settings.Name && v.isOwnEntry(o, own) {
 			return
 		}
 	}
-	select {
-	case v.entryLost <- struct{}{}:
-	default:
+	offer(v.entryLost, struct{}{})
+}
+
+// checkOwnEvent asks for the node's own entry to be written again if an event shows that another writer has replaced or deleted it.
+func (v *fleetView) checkOwnEvent(e object.Event) {
+	own := v.ownEntry.Load()
+	if own == nil || e.Object.Name != v.cfg.Settings.Name || e.Object.Version <= own.version {
+		return
+	}
+	if e.Type == object.Delete || !v.isOwnEntry(e.Object, own) {
+		offer(v.entryLost, struct{}{})
 	}
 }
+
+// isOwnEntry reports whether an object is the entry of this run of the node, or of a later one.
+func (v *fleetView) isOwnEntry(o object.Object, own *ownEntry) bool {
+	n, err := v.cfg.Platform.ParseNode(o)
+	return err == nil && n.StartedAt >= own.startedAt
+}
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -294,6 +294,8 @@
 	self := registry.Node{Name: s.Name, Address: s.PeerAddress, Datacentre: s.Datacentre, StartedAt: n.view.startedAt, LinkMbps: s.LinkMbps}
 	for ctx.Err() == nil {
 		n.writeEntry(ctx, self)
+		// Another writer of the entry may not stop.
+		pause(ctx, registerRetry)
 		select {
 		case <-ctx.Done():
 		case <-n.view.entryLost:
--- a/internal/operator/gatewaynode/objects.go
+++ b/internal/operator/gatewaynode/objects.go
@@ -258,18 +258,24 @@
 	former := v.nodes
 	v.nodes = map[string]registry.Node{}
 	v.mu.Unlock()
+	// unreadable holds the known nodes whose entries cannot be read.
+	unreadable := map[string]registry.Node{}
 	for _, o := range l.Items {
-		if v.cfg.Platform.CrashReportNode(o.Name) == "" && o.Name != v.cfg.Platform.QuarantineName {
-			v.addNode(o)
+		if v.cfg.Platform.CrashReportNode(o.Name) != "" || o.Name == v.cfg.Platform.QuarantineName || v.addNode(o) {
+			continue
+		}
+		if n, ok := former[o.Name]; ok {
+			unreadable[o.Name] = n
 		}
 	}
 	v.shared.replace(l)
 	v.crashes.replaceReports(l)
-	if v.restored {
-		v.mu.Lock()
-		v.holdMissingNodes(former)
-		v.mu.Unlock()
+	if !v.restored {
+		former = unreadable
 	}
+	v.mu.Lock()
+	v.holdMissingNodes(former)
+	v.mu.Unlock()
 	v.setNodes()
 	v.checkOwnEntry(l)
 	v.listOnce.Do(func() { close(v.nodesListed) })
@@ -290,22 +296,26 @@
 		delete(v.nodes, e.Object.Name)
 		v.mu.Unlock()
 		v.cfg.Log.WithFields(logrus.Fields{"peer": e.Object.Name, "revision": e.Object.Version.Revision()}).Info("fleet: node left")
-	} else {
-		v.addNode(e.Object)
 	}
+	isReadable := e.Type == object.Delete || v.addNode(e.Object)
+	v.checkOwnEvent(e)
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if n, ok := v.nodes[e.Object.Name]; ok && !isReadable {
+		v.expireNodes(map[string]registry.Node{e.Object.Name: n})
+	}
 	if !v.nodesChanged {
 		v.nodesChanged = true
 		time.AfterFunc(coalesceWindow, v.setNodes)
 	}
 }
 
-func (v *fleetView) addNode(o object.Object) {
+// addNode takes in a node's entry; it returns false if the entry cannot be read.
+func (v *fleetView) addNode(o object.Object) bool {
 	n, err := v.cfg.Platform.ParseNode(o)
 	if err != nil {
 		v.logUnreadable(o, err)
-		return
+		return false
 	}
 	v.logReadable(o)
 	v.mu.Lock()
@@ -315,6 +325,7 @@
 	if !known || before != n {
 		v.cfg.Log.WithFields(logrus.Fields{"peer": n.Name, "address": n.Address, "revision": o.Version.Revision()}).Info("fleet: node joined")
 	}
+	return true
 }
 
 func (v *fleetView) setNodes() {
