Write a node's report of crashes again when it was replaced

Cause: a node read its own report from the store only until it had written one, so one that another writer had replaced stayed so. Nodes that knew the report kept it; nodes that start later would not have it.

Change: a node whose report cannot be read any more writes it again. The shared key of the quarantine is written again with it, as before.

Conclusion: reports survive other writers while their node lives.

--- a/internal/operator/gatewaynode/quarantine.go
+++ b/internal/operator/gatewaynode/quarantine.go
@@ -163,6 +163,7 @@
 		if node := c.node.cfg.Platform.CrashReportNode(o.Name); node != "" {
 			listed[node] = true
 			c.merge(node, o)
+			c.checkOwnReport(node, o)
 		}
 	}
 	for _, node := range c.keeper.Board().Nodes() {
@@ -187,6 +188,24 @@
 		return
 	}
 	c.merge(node, e.Object)
+	c.checkOwnReport(node, e.Object)
+}
+
+// checkOwnReport has the node's own report written again if another writer has put something else in its place.
+func (c *crashReporter) checkOwnReport(node string, o object.Object) {
+	if node != c.node.cfg.Settings.Name {
+		return
+	}
+	_, err := c.node.cfg.Platform.ParseCrashReport(o)
+	if err == nil {
+		c.node.view.logReadable(o)
+		return
+	}
+	c.node.view.logUnreadable(o, err)
+	if own := c.node.view.ownReport.Load(); own != nil && own.version < o.Version {
+		c.lost.Store(true)
+		offer(c.due, quarantine.Immediate)
+	}
 }
 
 func (c *crashReporter) remove(node string, version object.Version) {
