--- a/internal/operator/gatewaynode/objects.go
+++ b/internal/operator/gatewaynode/objects.go
@@ -29,18 +29,21 @@
 	}
 	t, violations, err := v.cfg.Platform.ParseTable(o.Value)
 	if err != nil {
-		v.cfg.Log.WithError(err).WithField("revision", o.Version.Revision()).Error("configuration: cannot be parsed, the previous one stays in force")
+		if log := v.noteUnreadable(o, err); log != nil {
+			log.Error("configuration: cannot be parsed, the previous one stays in force")
+		}
 		return
 	}
-	for _, violation := range violations {
-		v.cfg.Log.WithField("version", t.Version).Warn("configuration: ignored: " + violation.String())
-	}
+	v.logReadable(o)
 	if current := v.table.Load(); current != nil && current.Version >= t.Version {
 		if current.Version > t.Version {
 			v.cfg.Log.WithFields(logrus.Fields{"version": t.Version, "in_force": current.Version}).Warn("configuration: older than the one in force")
 		}
 		return
 	}
+	for _, violation := range violations {
+		v.cfg.Log.WithField("version", t.Version).Warnf("configuration: ignored: %.*s", maxLoggedText, violation.String())
+	}
 	if v.table.Swap(t) == nil {
 		close(v.tableLoaded)
 	}
@@ -52,19 +55,23 @@
 	v.applyPending()
 	now := v.cfg.Now()
 	var list []registry.Target
+	// A target whose entry cannot be read is not used, while one whose entry is missing may be held.
+	var unreadable []registry.Change
 	for _, o := range l.Items {
 		t, err := v.cfg.Platform.ParseTarget(now, o)
 		if err != nil {
 			v.logUnreadable(o, err)
+			unreadable = append(unreadable, registry.Removed{ID: o.Name})
 			continue
 		}
+		v.logReadable(o)
 		if t.State == registry.Draining {
 			v.crashes.keeper.RecordPlannedStop(now, t.Run())
 		}
 		list = append(list, t)
 	}
 	hold := v.holdUntil(now)
-	v.updateRegistry(func(r *registry.Registry) *registry.Registry { return r.WithTargets(list, hold) })
+	v.updateRegistry(func(r *registry.Registry) *registry.Registry { return r.WithTargets(list, hold).With(unreadable...) })
 	v.scheduleExpiry(now, hold)
 	v.targetsListed.Store(true)
 	v.cfg.Log.WithFields(logrus.Fields{"targets": len(list), "revision": l.Version.Revision()}).Info("fleet: targets listed")
@@ -135,6 +142,7 @@
 		v.logUnreadable(e.Object, err)
 		return registry.Removed{ID: id}
 	}
+	v.logReadable(e.Object)
 	if t.Cold(now) && !before.Cold(now) {
 		v.cfg.Log.WithFields(logrus.Fields{"target": id, "cold_ms": t.ColdUntil.Sub(now).Milliseconds(), "revision": e.Object.Version.Revision()}).Info("fleet: target gets cold")
 	}
@@ -175,10 +183,6 @@
 	})
 }
 
-func (v *fleetView) logUnreadable(o object.Object, err error) {
-	v.cfg.Log.WithError(err).WithFields(logrus.Fields{"object": o.Kind + "/" + o.Name, "revision": o.Version.Revision()}).Warn("store: object cannot be parsed, ignored")
-}
-
 func (v *fleetView) replaceEvacuations(l object.List) {
 	v.mu.Lock()
 	former := v.outOfService
@@ -254,18 +258,24 @@
 	former := v.nodes
 	v.nodes = map[string]registry.Node{}
 	v.mu.Unlock()
+	// unreadable holds the known nodes whose entries cannot be read.
+	unreadable := map[string]registry.Node{}
 	for _, o := range l.Items {
-		if v.cfg.Platform.CrashReportNode(o.Name) == "" && o.Name != v.cfg.Platform.QuarantineName {
-			v.addNode(o)
+		if v.cfg.Platform.CrashReportNode(o.Name) != "" || o.Name == v.cfg.Platform.QuarantineName || v.addNode(o) {
+			continue
+		}
+		if n, ok := former[o.Name]; ok {
+			unreadable[o.Name] = n
 		}
 	}
 	v.shared.replace(l)
 	v.crashes.replaceReports(l)
-	if v.restored {
-		v.mu.Lock()
-		v.holdMissingNodes(former)
-		v.mu.Unlock()
+	if !v.restored {
+		former = unreadable
 	}
+	v.mu.Lock()
+	v.holdMissingNodes(former)
+	v.mu.Unlock()
 	v.setNodes()
 	v.checkOwnEntry(l)
 	v.listOnce.Do(func() { close(v.nodesListed) })
@@ -286,23 +296,28 @@
 		delete(v.nodes, e.Object.Name)
 		v.mu.Unlock()
 		v.cfg.Log.WithFields(logrus.Fields{"peer": e.Object.Name, "revision": e.Object.Version.Revision()}).Info("fleet: node left")
-	} else {
-		v.addNode(e.Object)
 	}
+	isReadable := e.Type == object.Delete || v.addNode(e.Object)
+	v.checkOwnEvent(e)
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if n, ok := v.nodes[e.Object.Name]; ok && !isReadable {
+		v.expireNodes(map[string]registry.Node{e.Object.Name: n})
+	}
 	if !v.nodesChanged {
 		v.nodesChanged = true
 		time.AfterFunc(coalesceWindow, v.setNodes)
 	}
 }
 
-func (v *fleetView) addNode(o object.Object) {
+// addNode takes in a node's entry; it returns false if the entry cannot be read.
+func (v *fleetView) addNode(o object.Object) bool {
 	n, err := v.cfg.Platform.ParseNode(o)
 	if err != nil {
 		v.logUnreadable(o, err)
-		return
+		return false
 	}
+	v.logReadable(o)
 	v.mu.Lock()
 	before, known := v.nodes[n.Name]
 	v.nodes[n.Name] = n
@@ -310,6 +325,7 @@
 	if !known || before != n {
 		v.cfg.Log.WithFields(logrus.Fields{"peer": n.Name, "address": n.Address, "revision": o.Version.Revision()}).Info("fleet: node joined")
 	}
+	return true
 }
 
 func (v *fleetView) setNodes() {
