Let no answer without a request's ID decide about the request

Cause: a response without X-Attempt-Id was taken for the answer of whichever request was sent on its connection. A target that wrote an earlier refusal once more, without its ID, while the next request waited for its first byte, made that request count as not run. Callers saw 503 for requests that targets had run (REFUSED), and unsafe requests ran at a second target (TWICE). A connection on which a response to another request was skipped went back to the pool, so that the next request could meet the next copy. What such a response said of its target (a pause, a leave) was recorded too.

Ruled out by the same test: copies at once and between two requests (the connection is closed before it is used), and copies with the earlier request's ID before the answer (skipped).

Change: on a connection that was used before, a response that does not name the request is skipped like one that names another. On a new connection, where nothing earlier can come, it counts as a failure that may have run (502). A connection on which a response was skipped is closed after the request, and a log line says so.

Conclusion: an earlier refusal in front of an answer decides nothing about the next request.

--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -62,7 +62,8 @@
 	Body   []byte
 	// IsMismatched reports whether a response header belongs to another request; it may be nil.
 	IsMismatched func(http.Header) bool
-	// IsOwn reports whether a response header names this request; it may be nil.
+	// IsOwn reports whether a response header names this request; it may be nil. On a connection that was used before, a response
+	// that does not name the request may be a copy of an earlier one and is skipped.
 	IsOwn func(http.Header) bool
 	// IsAlone is set if the request needs a connection of its own, since nothing in its response tells it from a late copy of an
 	// earlier response.
@@ -87,6 +88,8 @@
 	Header  http.Header
 	Body    io.ReadCloser
 	Framing Framing
+	// Skipped is set if responses that are not the request's came before it.
+	Skipped bool
 }
 
 // framing returns how a response marks the end of its body.
@@ -166,6 +169,10 @@
 	idleUntil time.Time
 	// keepAlive is how long the target keeps the connection when it is idle.
 	keepAlive time.Duration
+	// wasUsed is set if an earlier request was sent on the connection.
+	wasUsed bool
+	// isSpoiled is set once a response was skipped: more of them may follow, so that no further request is sent.
+	isSpoiled bool
 }
 
 // isUsable reports whether an idle connection is open and has received no bytes.
@@ -290,6 +297,7 @@
 		}()
 	}
 	resp, err := c.readResponse(r)
+	c.wasUsed = true
 	if err != nil {
 		stop()
 		_ = c.netConn.Close()
@@ -299,7 +307,7 @@
 		resp.Body = &copyFilter{body: resp.Body, isOwn: r.IsOwn}
 	}
 	b := &responseBody{pool: p, address: address, conn: c, resp: resp, sent: sent, stopCancel: stop, isAlone: r.IsAlone}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Framing: framing(resp)}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Framing: framing(resp), Skipped: c.isSpoiled}, nil
 }
 
 // takeFor returns an open connection for a request, or nil.
@@ -373,9 +381,10 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.IsMismatched == nil || !r.IsMismatched(resp.Header) {
+		if !c.isMismatched(r, resp.Header) {
 			return resp, nil
 		}
+		c.isSpoiled = true
 		if framing(resp) == FramedByClose {
 			return nil, errMismatched
 		}
@@ -390,6 +399,14 @@
 	return nil, errMismatched
 }
 
+// isMismatched reports whether a response is not that to r.
+func (c *conn) isMismatched(r Request, h http.Header) bool {
+	if r.IsMismatched != nil && r.IsMismatched(h) {
+		return true
+	}
+	return c.wasUsed && r.IsOwn != nil && !r.IsOwn(h)
+}
+
 // responseBody is the body of a response; Close returns the connection to the pool if the body was read to its end.
 type responseBody struct {
 	pool       *Pool
@@ -418,7 +435,7 @@
 	}
 	b.closed = true
 	active := b.stopCancel()
-	reusable := !b.isAlone && b.atEOF && active && !b.resp.Close && b.isRequestSent()
+	reusable := !b.isAlone && !b.conn.isSpoiled && b.atEOF && active && !b.resp.Close && b.isRequestSent()
 	if !reusable || framing(b.resp) == FramedByClose {
 		return b.conn.netConn.Close()
 	}
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -339,7 +339,13 @@
 		return result
 	}
 	defer resp.Body.Close()
-	g.recordNotices(started, t, resp)
+	if resp.Skipped {
+		g.cfg.Log.WithFields(logrus.Fields{"request": rs.ID, "target": t.ID}).Warn("gateway: responses to other requests came before that to this one")
+	}
+	flags := g.cfg.Headers.ParseResponseFlags(rs.ID, resp.Status, resp.Header)
+	if flags.Matched || rs.ID == "" {
+		g.recordNotices(started, t, resp)
+	}
 	rw.onFirstByte = func() {
 		markPromptRead()
 		g.recordFirstByte(rs, g.cfg.Now().Sub(started))
@@ -351,7 +357,6 @@
 		_, ok := g.cfg.CrashedRun(ctx, t)
 		return ok
 	}
-	flags := g.cfg.Headers.ParseResponseFlags(rs.ID, resp.Status, resp.Header)
 	rw.received = receivedBody{framing: resp.Framing}
 	result := g.processResponse(ctx, r, rs, rw, resp, flags)
 	targetFailed := result.final == nil || result.final.kind == truncated
@@ -439,6 +444,9 @@
 
 // processResponse interprets a response header and passes the response on if it is acceptable.
 func (g *Gateway) processResponse(ctx context.Context, r *http.Request, rs *requestState, rw *responseWriter, resp *connection.Response, flags call.ResponseFlags) sendResult {
+	if !flags.Matched && rs.ID != "" {
+		return sendResult{fallback: failure(http.StatusBadGateway, causeMismatched, "answer does not name the request"), mayHaveRun: true, countsAsAttempt: true}
+	}
 	if flags.InputLost {
 		discardBody(resp)
 		out := refusal(causeInputLost, "a result was lost before the request had read it", shortRetry)
@@ -481,27 +489,3 @@
 	rw.onStart()
 	return sendResult{final: buffered.write(rw.w)}
 }
-
-// defaultFirstByteTime is the time to the first byte of a model's response that is assumed until one has arrived.
-const defaultFirstByteTime = 150 * time.Millisecond
-
-// recordFirstByte adds the time from a send to the first byte of its response to the average of the service.
-func (g *Gateway) recordFirstByte(rs *requestState, took time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	average, ok := g.firstByteTimes[rs.service.Name]
-	if !ok {
-		average = took
-	}
-	g.firstByteTimes[rs.service.Name] = average + (took-average)/8
-}
-
-// firstByteTime returns the average time from a send to the first byte of a response.
-func (g *Gateway) firstByteTime(rs *requestState) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if d, ok := g.firstByteTimes[rs.service.Name]; ok {
-		return d
-	}
-	return defaultFirstByteTime
-}
