Use no response header that holds a part of another response

Cause: a part of an earlier refusal that stands in front of the next response, or a refusal written inside its header, is read with it as one header: status and "not executed" of the refusal, ID of the answer. Callers saw 503 for requests that had run, and unsafe requests ran at a second target.

Change: a header in whose reason or fields another status line stands is an error of the response: the request may have run, and the connection is closed. Fields without a colon were an error before.

Can't happen, kept as rows: a whole refusal that names the earlier request, around or inside the header, was an error already (its Content-Length differs), or is skipped.

Conclusion: a response is read with its own header alone, or not at all.

--- a/internal/wire/connection/copy.go
+++ b/internal/wire/connection/copy.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
+	"strings"
 )
 
 // versionPrefix begins the head of each response.
@@ -100,3 +102,37 @@
 	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
 	return err == nil && isOwn(resp.Header)
 }
+
+var errMerged = errors.New("response header holds a part of another response")
+
+// isMerged reports whether the status line of another response stands in a header: the one response was written inside the other, and
+// the fields may be those of either.
+func isMerged(resp *http.Response) bool {
+	if hasStatusLine(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		for _, v := range values {
+			if hasStatusLine(v) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hasStatusLine reports whether the version and status of a response stand in a text.
+func hasStatusLine(text string) bool {
+	for {
+		_, rest, ok := strings.Cut(text, versionPrefix)
+		if !ok {
+			return false
+		}
+		if len(rest) >= len("1 200") && isDigit(rest[0]) && rest[1] == ' ' && isDigit(rest[2]) && isDigit(rest[3]) && isDigit(rest[4]) {
+			return true
+		}
+		text = rest
+	}
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
--- a/internal/wire/connection/earlier_test.go
+++ b/internal/wire/connection/earlier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -79,3 +80,52 @@
 		}
 	}
 }
+
+// ownResponses are responses to the own request by framing; their bodies are wantBody.
+var ownResponses = map[Framing]string{
+	FramedByLength: "HTTP/1.1 200 OK\r\nCall: own\r\nServer: a\r\nContent-Length: 10\r\n\r\n" + wantBody,
+	FramedByChunks: "HTTP/1.1 200 OK\r\nCall: own\r\nServer: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n5\r\nworld\r\n0\r\n\r\n",
+	FramedByClose:  "HTTP/1.1 200 OK\r\nCall: own\r\nServer: a\r\n\r\n" + wantBody,
+}
+
+const wantBody = "helloworld"
+
+// readAfterEarlier reads the response to the own request on a connection that was used before and has the bytes of text.
+func readAfterEarlier(text string) (status int, body string, err error) {
+	client, server := net.Pipe()
+	defer client.Close()
+	go func() {
+		_, _ = io.WriteString(server, text)
+		_ = server.Close()
+	}()
+	c := newConn(client)
+	c.wasUsed = true
+	resp, err := c.readResponse(newOwnRequest())
+	if err != nil {
+		return 0, "", err
+	}
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+// TestEarlierResponseAnywhereIsNotTaken covers a copy of an earlier response whole or in two parts, at each byte of it and of the next
+// response: that one is read as it is, or not at all.
+func TestEarlierResponseAnywhereIsNotTaken(t *testing.T) {
+	t.Parallel()
+	check := func(name, text string, isWhole bool) {
+		status, body, err := readAfterEarlier(text)
+		if isRead := err == nil; (isRead || isWhole) && (status != http.StatusOK || body != wantBody || err != nil) {
+			t.Errorf("%s: got status %d with %q (%v), want the own response", name, status, body, err)
+		}
+	}
+	for framing, own := range ownResponses {
+		for _, earlier := range []string{earlierRefusal, unnamedRefusal} {
+			for at := range strings.Index(own, "\r\n\r\n") + 4 {
+				check(fmt.Sprintf("%s, copy of %q at byte %d", framing, earlier, at), own[:at]+earlier+own[at:], at == 0)
+			}
+			for at := 1; at < len(earlier); at++ {
+				check(fmt.Sprintf("%s, parts of %q from byte %d around it", framing, earlier, at), earlier[:at]+own+earlier[at:], false)
+			}
+		}
+	}
+}
--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -378,6 +378,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if isMerged(resp) {
+			return nil, errMerged
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
