Take no body in which an earlier response stands

Cause: bytes of an earlier refusal that a target writes midway through the body of the next answer counted as that body: with a length, the body ended that much sooner, and looked whole.

Change: on a connection that was used before, a whole head inside a body that names another request, or says "not executed" without an ID, is an error of the response. Where a body with a length ends inside such a head, what has been received behind it tells. Chunks were safe already: a copy between or in them is no chunk. Connections without an earlier answer are read as before.

Failed before: connection TestEarlierResponseAnywhereIsNotTaken, 42 of 42 places in bodies with a length or until close ("got status 200 with "hHTTP/1.1 ""), 20 of them without the look behind the end; platform TestEarlierRefusalDecidesNothing, "midway through the body" on an unsafe route: "got status 200 with "id: 1\ndata: theHTTP/1.1 503 Se"". After: both pass. FuzzCopyFilter, 12 s: nothing.

Not told: a copy whose first bytes end a body exactly while its rest comes later, and a copy that ends in its head with the connection of a body without length.

Conclusion: an earlier response never counts as part of a body, except in the two cases above.

--- a/internal/wire/connection/copy.go
+++ b/internal/wire/connection/copy.go
@@ -15,29 +15,61 @@
 // maxCopyHeadBytes bounds the head of a second response that is looked for behind a body.
 const maxCopyHeadBytes = 16 << 10
 
-// copyFilter reads a body that ends with its connection, and ends it where a second response to the same request begins: nothing
-// else marks the end of the first one.
+// copyFilter reads a body behind or within which another response may stand. A second response to the same request ends a body that
+// ends with its connection, since nothing else marks its end. A response to an earlier request of the connection is an error: the
+// rest of the body cannot be told from it.
 type copyFilter struct {
-	body  io.ReadCloser
-	isOwn func(http.Header) bool
-	// ready is body that may be read, pending what may begin a second response.
+	body io.ReadCloser
+	// isOwn and isStray report which response begins; they may be nil.
+	isOwn   func(http.Header) bool
+	isStray func(status int, h http.Header) bool
+	// following returns what has been received behind the body; it may be nil.
+	following func() []byte
+	// ready is body that may be read, pending what may begin another response.
 	ready, pending []byte
 	err            error
 }
 
+var errStray = errors.New("body holds a response to another request")
+
+// filterBody returns the body of a response without other responses.
+func (c *conn) filterBody(resp *http.Response, r Request) io.ReadCloser {
+	f := &copyFilter{body: resp.Body}
+	if framing(resp) == FramedByClose {
+		f.isOwn = r.IsOwn
+	} else {
+		f.following = c.received
+	}
+	if c.wasUsed {
+		f.isStray = r.IsStray
+	}
+	if resp.Body == http.NoBody || (f.isOwn == nil && f.isStray == nil) {
+		return resp.Body
+	}
+	return f
+}
+
+// received returns bytes that have been received and not been read.
+func (c *conn) received() []byte {
+	// No error can come from bytes that are buffered, and without any in the socket nothing follows yet.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	held, _ := c.peek(len(versionPrefix))
+	return append(bytes.Clone(buffered), held...)
+}
+
 func (f *copyFilter) Read(p []byte) (int, error) {
+	if len(f.ready) == 0 && len(f.pending) == 0 && f.err == nil {
+		n, err := f.body.Read(p)
+		if bytes.IndexByte(p[:n], versionPrefix[0]) < 0 {
+			f.err = err
+			return n, err
+		}
+		f.add(p[:n], err)
+	}
 	for len(f.ready) == 0 && f.err == nil {
 		buf := make([]byte, max(len(p), 1))
 		n, err := f.body.Read(buf)
-		f.pending = append(f.pending, buf[:n]...)
-		f.err = err
-		length, isCopy := bodyLength(f.pending, f.isOwn)
-		if isCopy {
-			f.err = io.EOF
-		} else if err != nil {
-			length = len(f.pending)
-		}
-		f.ready, f.pending = f.pending[:length], bytes.Clone(f.pending[length:])
+		f.add(buf[:n], err)
 	}
 	n := copy(p, f.ready)
 	f.ready = f.ready[n:]
@@ -47,30 +79,80 @@
 	return n, f.err
 }
 
+// add takes what was read of the body, and the error with which the read ended.
+func (f *copyFilter) add(data []byte, err error) {
+	f.pending = append(f.pending, data...)
+	f.err = err
+	length, next := f.bodyLength(f.pending)
+	switch {
+	case next == ownResponse:
+		f.err = io.EOF
+	case next == strayResponse, err == io.EOF && f.goesOn(f.pending[length:]):
+		f.err = errStray
+	case err != nil:
+		length = len(f.pending)
+	}
+	f.ready, f.pending = f.pending[:length], bytes.Clone(f.pending[length:])
+}
+
+// goesOn reports whether the end of a body and what follows it are the head of one response.
+func (f *copyFilter) goesOn(end []byte) bool {
+	if f.following == nil || len(end) == 0 {
+		return false
+	}
+	rest := f.following()
+	if begun, _ := responseHead(rest); len(rest) == 0 || begun != nil {
+		return false
+	}
+	head, _ := responseHead(append(bytes.Clone(end), rest...))
+	return len(head) >= len(versionPrefix)
+}
+
 // Close closes the body.
 func (f *copyFilter) Close() error { return f.body.Close() }
 
-// bodyLength returns how much of data is body for certain. isCopy is set if the head of a second response follows; otherwise the
-// rest of data may begin one.
-func bodyLength(data []byte, isOwn func(http.Header) bool) (length int, isCopy bool) {
+// nextResponse is what follows a body.
+type nextResponse string
+
+const (
+	noResponse    nextResponse = ""
+	ownResponse   nextResponse = "own"
+	strayResponse nextResponse = "stray"
+)
+
+// bodyLength returns how much of data is body for certain, and which response begins behind it; if none does, the rest of data may
+// begin one.
+func (f *copyFilter) bodyLength(data []byte) (length int, next nextResponse) {
 	for length < len(data) {
 		n := bytes.IndexByte(data[length:], versionPrefix[0])
 		if n < 0 {
-			return len(data), false
+			return len(data), noResponse
 		}
 		length += n
-		switch head, isWhole := responseHead(data[length:]); {
-		case head == nil:
-			length++
-		case !isWhole && len(head) < maxCopyHeadBytes:
-			return length, false
-		case isWhole && isResponseTo(head, isOwn):
-			return length, true
-		default:
-			length++
+		head, isWhole := responseHead(data[length:])
+		if head != nil && !isWhole && len(head) < maxCopyHeadBytes {
+			return length, noResponse
+		}
+		if head != nil && isWhole {
+			if next := f.kind(head); next != noResponse {
+				return length, next
+			}
 		}
+		length++
+	}
+	return length, noResponse
+}
+
+// kind returns which response a whole head begins.
+func (f *copyFilter) kind(head []byte) nextResponse {
+	switch {
+	case f.isOwn != nil && isResponseTo(head, f.isOwn):
+		return ownResponse
+	case f.isStray != nil && isStrayResponse(head, f.isStray):
+		return strayResponse
+	default:
+		return noResponse
 	}
-	return length, false
 }
 
 // responseHead returns the head of a response with which data begins; it is not whole if data ends inside it, and nil if data
@@ -103,6 +185,12 @@
 	return err == nil && isOwn(resp.Header)
 }
 
+// isStrayResponse reports whether a head is that of a response that isStray knows.
+func isStrayResponse(head []byte, isStray func(int, http.Header) bool) bool {
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
+	return err == nil && isStray(resp.StatusCode, resp.Header)
+}
+
 var errMerged = errors.New("response header holds a part of another response")
 
 // isMerged reports whether the status line of another response stands in a header: the one response was written inside the other, and
--- a/internal/wire/connection/earlier_test.go
+++ b/internal/wire/connection/earlier_test.go
@@ -58,7 +58,8 @@
 
 // newOwnRequest returns a request whose response is named "own"; that to an earlier request is named "other".
 func newOwnRequest() Request {
-	return Request{Method: http.MethodGet, URI: "/", Host: "h", IsMismatched: isOtherCall, IsOwn: isOwnCall}
+	isStray := func(_ int, h http.Header) bool { return isOtherCall(h) || (!isOwnCall(h) && h.Get("Refused") != "") }
+	return Request{Method: http.MethodGet, URI: "/", Host: "h", IsMismatched: isOtherCall, IsOwn: isOwnCall, IsStray: isStray}
 }
 
 // TestConnectionWithEarlierResponseIsNotUsedAgain covers a copy of an earlier response in front of the next one.
@@ -104,7 +105,7 @@
 	if err != nil {
 		return 0, "", err
 	}
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(c.filterBody(resp, newOwnRequest()))
 	return resp.StatusCode, string(data), err
 }
 
@@ -120,8 +121,9 @@
 	}
 	for framing, own := range ownResponses {
 		for _, earlier := range []string{earlierRefusal, unnamedRefusal} {
-			for at := range strings.Index(own, "\r\n\r\n") + 4 {
-				check(fmt.Sprintf("%s, copy of %q at byte %d", framing, earlier, at), own[:at]+earlier+own[at:], at == 0)
+			for at := range len(own) + 1 {
+				isWhole := at == 0 || at == len(own) && framing != FramedByClose
+				check(fmt.Sprintf("%s, copy of %q at byte %d", framing, earlier, at), own[:at]+earlier+own[at:], isWhole)
 			}
 			for at := 1; at < len(earlier); at++ {
 				check(fmt.Sprintf("%s, parts of %q from byte %d around it", framing, earlier, at), earlier[:at]+own+earlier[at:], false)
--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -65,6 +65,9 @@
 	// IsOwn reports whether a response header names this request; it may be nil. On a connection that was used before, a response
 	// that does not name the request may be a copy of an earlier one and is skipped.
 	IsOwn func(http.Header) bool
+	// IsStray reports whether a response cannot be a part of the body of this request's response, since it is a target's response to
+	// another request; it may be nil.
+	IsStray func(status int, h http.Header) bool
 	// IsAlone is set if the request needs a connection of its own, since nothing in its response tells it from a late copy of an
 	// earlier response.
 	IsAlone bool
@@ -169,7 +172,7 @@
 	idleUntil time.Time
 	// keepAlive is how long the target keeps the connection when it is idle.
 	keepAlive time.Duration
-	// wasUsed is set if an earlier request was sent on the connection.
+	// wasUsed is set if an earlier request was answered on the connection.
 	wasUsed bool
 	// isSpoiled is set once a response was skipped: more of them may follow, so that no further request is sent.
 	isSpoiled bool
@@ -177,21 +180,28 @@
 
 // isUsable reports whether an idle connection is open and has received no bytes.
 func (c *conn) isUsable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
+	_, err := c.peek(1)
+	return c.reader.Buffered() == 0 && errors.Is(err, syscall.EAGAIN)
+}
+
+// peek returns up to n bytes that the socket holds, without waiting and without taking them; the error is EAGAIN if there are none.
+func (c *conn) peek(n int) (data []byte, err error) {
+	tcp, ok := c.netConn.(*net.TCPConn)
+	if !ok {
+		return nil, errors.ErrUnsupported
 	}
-	raw, err := c.netConn.(*net.TCPConn).SyscallConn()
+	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return nil, err
 	}
-	noData := false
+	buf := make([]byte, n)
+	var received int
+	var receiveErr error
 	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = errors.Is(e, syscall.EAGAIN)
+		received, _, receiveErr = syscall.Recvfrom(int(fd), buf, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && noData
+	return buf[:max(received, 0)], errors.Join(err, receiveErr)
 }
 
 func (p *Pool) take(now time.Time, address string) *conn {
@@ -297,15 +307,12 @@
 		}()
 	}
 	resp, err := c.readResponse(r)
-	c.wasUsed = true
 	if err != nil {
 		stop()
 		_ = c.netConn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
-	if framing(resp) == FramedByClose && r.IsOwn != nil {
-		resp.Body = &copyFilter{body: resp.Body, isOwn: r.IsOwn}
-	}
+	resp.Body = c.filterBody(resp, r)
 	b := &responseBody{pool: p, address: address, conn: c, resp: resp, sent: sent, stopCancel: stop, isAlone: r.IsAlone}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Framing: framing(resp), Skipped: c.isSpoiled}, nil
 }
@@ -442,6 +449,7 @@
 	if !reusable || framing(b.resp) == FramedByClose {
 		return b.conn.netConn.Close()
 	}
+	b.conn.wasUsed = true
 	b.conn.keepAlive = parseKeepAlive(b.resp.Header, b.conn.keepAlive)
 	b.pool.put(time.Now(), b.address, b.conn)
 	return nil
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -322,7 +322,11 @@
 		}),
 		IsMismatched: func(h http.Header) bool { return g.cfg.Headers.ParseResponseFlags(rs.ID, 0, h).Mismatched },
 		IsOwn:        func(h http.Header) bool { return g.cfg.Headers.ParseResponseFlags(rs.ID, 0, h).Matched },
-		IsAlone:      rs.ID == "" || rs.sentTo[t.Address],
+		IsStray: func(status int, h http.Header) bool {
+			f := g.cfg.Headers.ParseResponseFlags(rs.ID, status, h)
+			return f.Mismatched || (!f.Matched && f.NotRun)
+		},
+		IsAlone: rs.ID == "" || rs.sentTo[t.Address],
 	}
 	rs.sentTo[t.Address] = true
 	rs.log["target"] = t.ID
