Pass on no promise that a target does not make

Cause: callers take 408, 421, 429 and 503 as "not run, and never will be"; of a target's responses only X-Not-Executed and 421 say so. A target's own 408, 429 or 503 without that statement, for a request that may have run, was passed on as it was.

Change: it counts as a failure that may have run: another target if the route allows it, 502 of the node's own without the target's signature otherwise.

Failed before: TestUnstatedRefusalIsNotPassedOn, 9 of 9 cases (408, 429, 503; unsafe, safe, streaming): "got status 503 with "failed", sealed "s1"". After: passes.

Conclusion: the four statuses reach callers only as a promise that holds.

--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -461,6 +461,9 @@
 		discardBody(resp)
 		return sendResult{fallback: refusal(causeNotRun, "target did not run the request", shortRetry), countsAsAttempt: true}
 	}
+	if isPromise(resp.Status) {
+		return sendResult{fallback: failure(http.StatusBadGateway, causeMismatched, "target does not state that the request did not run"), mayHaveRun: true, countsAsAttempt: true}
+	}
 	success := resp.Status >= 200 && resp.Status < 300
 	if success && (!flags.Signed || resp.Header.Get("Content-Encoding") != "") {
 		return sendResult{fallback: failure(http.StatusBadGateway, causeMismatched, "answer is not the target's"), mayHaveRun: true, countsAsAttempt: true}
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -80,6 +80,16 @@
 	writeBuffered func()
 }
 
+// isPromise reports whether a status tells callers that their request did not run and never will.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 func refusal(c cause, reason string, retry time.Duration) *outcome {
 	return &outcome{kind: refused, status: http.StatusServiceUnavailable, cause: c, reason: reason, retryAfter: retry}
 }
