Close a target's connection on which a late copy came (own protocol)

Cause: after a copy of an earlier rejection was told from an attempt's answer, its connection went back to Go's pool. If the next attempt was sent before the answer that was still due, it got that one, and so on: one copy cost several attempts, and callers requests that ended as unknown.

Change: the connection of an answer that names no or another attempt is closed. Others to the same target stay.

Ruled out: closing all connections to the target, as after a stall, would end attempts of other requests there.

Failed before: backend TestConnectionWithLateCopyIsNotUsedAgain, three of three: "got backend.Incomplete {Reason:answer belongs to another attempt ...} for attempt c". After: passes, with the whole package, three times. No copy decided about an attempt, before or after: TestLateCopyOfRejectionIsNotTaken.

--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync"
@@ -165,12 +166,18 @@
 	defer idleTimer.Stop()
 	tc := c.connsTo(address)
 	started := time.Now()
+	var used net.Conn
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { used = i.Conn }})
 	resp, err := tc.http.DoRequest(a.request(ctx, address))
 	if err != nil {
 		return c.errorResult(ctx, address, tc, "", err)
 	}
 	defer resp.Body.Close()
 	bootID := resp.Header.Get(HeaderBoot)
+	if resp.Header.Get(HeaderAttempt) != a.ID && used != nil {
+		// This attempt's response may still come, and must not meet the next attempt. An error of the close changes nothing.
+		_ = used.Close()
+	}
 	if resp.StatusCode != http.StatusOK && resp.Header.Get(HeaderRefused) == "" {
 		return Incomplete{Reason: "status " + resp.Status, BootID: bootID}
 	}
--- a/internal/wire/backend/late_copy_test.go
+++ b/internal/wire/backend/late_copy_test.go
@@ -77,3 +77,53 @@
 		t.Error("got a confirmation for an attempt that runs, want an error")
 	}
 }
+
+// TestConnectionWithLateCopyIsNotUsedAgain covers a second copy of a rejection that arrives before the next attempt's answer: attempts
+// after it get their own answers.
+func TestConnectionWithLateCopyIsNotUsedAgain(t *testing.T) {
+	t.Parallel()
+	const rejected = "HTTP/1.1 503 Service Unavailable\r\nRefused: twice\r\nAttempt: a\r\nContent-Length: 0\r\n\r\n"
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	serve := func(c net.Conn) {
+		defer c.Close()
+		r := bufio.NewReader(c)
+		isCopied := false
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			id := req.Header.Get(HeaderAttempt)
+			if id == "a" || !isCopied && id == "b" {
+				fmt.Fprint(c, rejected)
+				isCopied = id == "b"
+			}
+			if id != "a" {
+				time.Sleep(20 * time.Millisecond)
+				body := fmt.Sprintf(`{"attempt":%q,"output":"x"}`, id)
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	c := NewClient()
+	for _, id := range []string{"a", "b", "c", "d"} {
+		got := c.Run(t.Context(), ln.Addr().String(), Attempt{ID: id, IdleTimeout: time.Second}, func(uint64, []byte) error { return nil })
+		_, isRefused := got.(Refused)
+		if _, isComplete := got.(Complete); isRefused != (id == "a") || isComplete != (id > "b") {
+			t.Errorf("got %T %+v for attempt %s, want a rejected, b without an answer and the others answered", got, got, id)
+		}
+	}
+}
