Take no earlier refusal for the answer of a call that frees results

Cause: calls that free results share connections, also with requests to the same target, and their answers name nothing. A refusal that a target wrote once more, without an ID, counted as the answer: the results were booked as held until their TTL though they had been freed, and the target's pause was recorded again. Requests waited for space that was there.

Batch calls and reports have a connection each already (TestLateCopyOfStageAnswerIsNotTaken). What belongs to one connection moves from pool.go to conn.go.

Failed before: TestEarlierRefusalIsNotTakenForFree, after a free and after a request: "got error free results: status 503, not run true for results that were freed". After: passes.

Can't happen: this project makes no health checks, holds or moves of targets' memory; whether an address refuses connections is asked by a dial without a request.

Conclusion: a copy of a refusal decides nothing on any call to targets; a copy of a confirmation may still confirm a free too early.

--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -1,7 +1,6 @@
 package connection
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -9,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -143,83 +143,33 @@
 	return err
 }
 
-// headReader reads from a connection, and fails if a header is longer than maxHeadBytes.
-type headReader struct {
-	netConn net.Conn
-	// inHead is set while a header is read, of which left bytes may follow.
-	inHead bool
-	left   int
-}
-
-var errHeadTooLong = errors.New("response header is too long")
-
-func (h *headReader) Read(p []byte) (int, error) {
-	if !h.inHead {
-		return h.netConn.Read(p)
-	}
-	if h.left <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := h.netConn.Read(p[:min(len(p), h.left)])
-	h.left -= n
-	return n, err
-}
-
-type conn struct {
-	netConn   net.Conn
-	head      *headReader
-	reader    *bufio.Reader
-	idleUntil time.Time
-	// keepAlive is how long the target keeps the connection when it is idle.
-	keepAlive time.Duration
-	// wasUsed is set if an earlier request was answered on the connection.
-	wasUsed bool
-	// isSpoiled is set once a response was skipped: more of them may follow, so that no further request is sent.
-	isSpoiled bool
-}
-
-// isUsable reports whether an idle connection is open and has received no bytes.
-func (c *conn) isUsable() bool {
-	_, err := c.peek(1)
-	return c.reader.Buffered() == 0 && errors.Is(err, syscall.EAGAIN)
+// take returns the idle connection to an address that was used last, or nil.
+func (p *Pool) take(now time.Time, address string) *conn {
+	return p.takeWhere(now, address, func(*conn) bool { return true })
 }
 
-// peek returns up to n bytes that the socket holds, without waiting and without taking them; the error is EAGAIN if there are none.
-func (c *conn) peek(n int) (data []byte, err error) {
-	tcp, ok := c.netConn.(*net.TCPConn)
-	if !ok {
-		return nil, errors.ErrUnsupported
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return nil, err
+func (p *Pool) takeWhere(now time.Time, address string, fits func(*conn) bool) *conn {
+	for {
+		c := p.remove(address, fits)
+		if c == nil || (now.Before(c.idleUntil) && c.isUsable()) {
+			return c
+		}
+		_ = c.netConn.Close()
 	}
-	buf := make([]byte, n)
-	var received int
-	var receiveErr error
-	err = raw.Read(func(fd uintptr) bool {
-		received, _, receiveErr = syscall.Recvfrom(int(fd), buf, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return buf[:max(received, 0)], errors.Join(err, receiveErr)
 }
 
-func (p *Pool) take(now time.Time, address string) *conn {
-	for {
-		p.mu.Lock()
-		list := p.idle[address]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			return nil
-		}
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
-		p.mu.Unlock()
-		if now.Before(c.idleUntil) && c.isUsable() {
+// remove takes the last idle connection that fits out of the pool, and returns nil if there is none.
+func (p *Pool) remove(address string, fits func(*conn) bool) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; fits(c) {
+			p.idle[address] = slices.Delete(list, i, i+1)
 			return c
 		}
-		_ = c.netConn.Close()
 	}
+	return nil
 }
 
 func (p *Pool) put(now time.Time, address string, c *conn) {
@@ -272,11 +222,6 @@
 	return false
 }
 
-func newConn(n net.Conn) *conn {
-	head := &headReader{netConn: n}
-	return &conn{netConn: n, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), keepAlive: defaultKeepAlive}
-}
-
 // Send sends a request and reads the response header; the connection is closed if ctx ends before the body does.
 func (p *Pool) Send(ctx context.Context, address string, r Request) (*Response, error) {
 	c := p.takeFor(time.Now(), address, r)
@@ -313,13 +258,18 @@
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
 	resp.Body = c.filterBody(resp, r)
+	c.wasNamed = c.wasNamed || r.IsOwn != nil
 	b := &responseBody{pool: p, address: address, conn: c, resp: resp, sent: sent, stopCancel: stop, isAlone: r.IsAlone}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Framing: framing(resp), Skipped: c.isSpoiled}, nil
 }
 
 // takeFor returns an open connection for a request, or nil.
 func (p *Pool) takeFor(now time.Time, address string, r Request) *conn {
-	if !r.IsAlone {
+	switch {
+	case r.IsAlone:
+	case r.IsOwn == nil:
+		return p.takeWhere(now, address, func(c *conn) bool { return !c.wasNamed })
+	default:
 		return p.take(now, address)
 	}
 	p.mu.Lock()
@@ -374,49 +324,6 @@
 	return b.Bytes()
 }
 
-var errMismatched = errors.New("only mismatched responses were received")
-
-// readResponse reads up to the header of the response that belongs to r.
-func (c *conn) readResponse(r Request) (*http.Response, error) {
-	for range maxMismatched {
-		c.head.inHead, c.head.left = true, maxHeadBytes
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.head.inHead = false
-		if err != nil {
-			return nil, err
-		}
-		if isMerged(resp) {
-			return nil, errMerged
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
-		if !c.isMismatched(r, resp.Header) {
-			return resp, nil
-		}
-		c.isSpoiled = true
-		if framing(resp) == FramedByClose {
-			return nil, errMismatched
-		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
-		if err != nil {
-			return nil, err
-		}
-		if n > maxSkippedBytes {
-			return nil, errMismatched
-		}
-	}
-	return nil, errMismatched
-}
-
-// isMismatched reports whether a response is not that to r.
-func (c *conn) isMismatched(r Request, h http.Header) bool {
-	if r.IsMismatched != nil && r.IsMismatched(h) {
-		return true
-	}
-	return c.wasUsed && r.IsOwn != nil && !r.IsOwn(h)
-}
-
 // responseBody is the body of a response; Close returns the connection to the pool if the body was read to its end.
 type responseBody struct {
 	pool       *Pool
