--- a/internal/wire/connection/earlier_test.go
+++ b/internal/wire/connection/earlier_test.go
@@ -44,7 +44,7 @@
 )
 
 // exchange sends a request and reads the response.
-func exchange(t *testing.T, p *Pool, address string, r Request) (status int, body string, err error) {
+func exchange(p *Pool, address string, r Request) (status int, body string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	resp, err := p.Send(ctx, address, r)
@@ -70,10 +70,10 @@
 		address := startScript(t, earlierRefusal, earlier+own, own)
 		p := NewPool()
 		first := Request{Method: http.MethodGet, URI: "/", Host: "h"}
-		if status, _, err := exchange(t, p, address, first); status != http.StatusServiceUnavailable || err != nil {
+		if status, _, err := exchange(p, address, first); status != http.StatusServiceUnavailable || err != nil {
 			t.Errorf("got status %d (%v) first, want 503", status, err)
 		}
-		if status, body, err := exchange(t, p, address, newOwnRequest()); status != http.StatusOK || body != "hello" || err != nil {
+		if status, body, err := exchange(p, address, newOwnRequest()); status != http.StatusOK || body != "hello" || err != nil {
 			t.Errorf("got status %d with %q (%v), want the own response", status, body, err)
 		}
 		if p.take(time.Now(), address) != nil {
