--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -1,7 +1,6 @@
 package connection
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -9,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -62,8 +62,12 @@
 	Body   []byte
 	// IsMismatched reports whether a response header belongs to another request; it may be nil.
 	IsMismatched func(http.Header) bool
-	// IsOwn reports whether a response header names this request; it may be nil.
+	// IsOwn reports whether a response header names this request; it may be nil. On a connection that was used before, a response
+	// that does not name the request may be a copy of an earlier one and is skipped.
 	IsOwn func(http.Header) bool
+	// IsStray reports whether a response cannot be a part of the body of this request's response, since it is a target's response to
+	// another request; it may be nil.
+	IsStray func(status int, h http.Header) bool
 	// IsAlone is set if the request needs a connection of its own, since nothing in its response tells it from a late copy of an
 	// earlier response.
 	IsAlone bool
@@ -87,6 +91,8 @@
 	Header  http.Header
 	Body    io.ReadCloser
 	Framing Framing
+	// Skipped is set if responses that are not the request's came before it.
+	Skipped bool
 }
 
 // framing returns how a response marks the end of its body.
@@ -137,72 +143,33 @@
 	return err
 }
 
-// headReader reads from a connection, and fails if a header is longer than maxHeadBytes.
-type headReader struct {
-	netConn net.Conn
-	// inHead is set while a header is read, of which left bytes may follow.
-	inHead bool
-	left   int
-}
-
-var errHeadTooLong = errors.New("response header is too long")
-
-func (h *headReader) Read(p []byte) (int, error) {
-	if !h.inHead {
-		return h.netConn.Read(p)
-	}
-	if h.left <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := h.netConn.Read(p[:min(len(p), h.left)])
-	h.left -= n
-	return n, err
-}
-
-type conn struct {
-	netConn   net.Conn
-	head      *headReader
-	reader    *bufio.Reader
-	idleUntil time.Time
-	// keepAlive is how long the target keeps the connection when it is idle.
-	keepAlive time.Duration
+// take returns the idle connection to an address that was used last, or nil.
+func (p *Pool) take(now time.Time, address string) *conn {
+	return p.takeWhere(now, address, func(*conn) bool { return true })
 }
 
-// isUsable reports whether an idle connection is open and has received no bytes.
-func (c *conn) isUsable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.netConn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
+func (p *Pool) takeWhere(now time.Time, address string, fits func(*conn) bool) *conn {
+	for {
+		c := p.remove(address, fits)
+		if c == nil || (now.Before(c.idleUntil) && c.isUsable()) {
+			return c
+		}
+		_ = c.netConn.Close()
 	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = errors.Is(e, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && noData
 }
 
-func (p *Pool) take(now time.Time, address string) *conn {
-	for {
-		p.mu.Lock()
-		list := p.idle[address]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			return nil
-		}
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
-		p.mu.Unlock()
-		if now.Before(c.idleUntil) && c.isUsable() {
+// remove takes the last idle connection that fits out of the pool, and returns nil if there is none.
+func (p *Pool) remove(address string, fits func(*conn) bool) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; fits(c) {
+			p.idle[address] = slices.Delete(list, i, i+1)
 			return c
 		}
-		_ = c.netConn.Close()
 	}
+	return nil
 }
 
 func (p *Pool) put(now time.Time, address string, c *conn) {
@@ -255,11 +222,6 @@
 	return false
 }
 
-func newConn(n net.Conn) *conn {
-	head := &headReader{netConn: n}
-	return &conn{netConn: n, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), keepAlive: defaultKeepAlive}
-}
-
 // Send sends a request and reads the response header; the connection is closed if ctx ends before the body does.
 func (p *Pool) Send(ctx context.Context, address string, r Request) (*Response, error) {
 	c := p.takeFor(time.Now(), address, r)
@@ -295,16 +257,19 @@
 		_ = c.netConn.Close()
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
-	if framing(resp) == FramedByClose && r.IsOwn != nil {
-		resp.Body = &copyFilter{body: resp.Body, isOwn: r.IsOwn, status: resp.StatusCode}
-	}
+	resp.Body = c.filterBody(resp, r)
+	c.wasNamed = c.wasNamed || r.IsOwn != nil
 	b := &responseBody{pool: p, address: address, conn: c, resp: resp, sent: sent, stopCancel: stop, isAlone: r.IsAlone}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Framing: framing(resp)}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Framing: framing(resp), Skipped: c.isSpoiled}, nil
 }
 
 // takeFor returns an open connection for a request, or nil.
 func (p *Pool) takeFor(now time.Time, address string, r Request) *conn {
-	if !r.IsAlone {
+	switch {
+	case r.IsAlone:
+	case r.IsOwn == nil:
+		return p.takeWhere(now, address, func(c *conn) bool { return !c.wasNamed })
+	default:
 		return p.take(now, address)
 	}
 	p.mu.Lock()
@@ -359,37 +324,6 @@
 	return b.Bytes()
 }
 
-var errMismatched = errors.New("only mismatched responses were received")
-
-// readResponse reads up to the header of the response that belongs to r.
-func (c *conn) readResponse(r Request) (*http.Response, error) {
-	for range maxMismatched {
-		c.head.inHead, c.head.left = true, maxHeadBytes
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.head.inHead = false
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
-		if r.IsMismatched == nil || !r.IsMismatched(resp.Header) {
-			return resp, nil
-		}
-		if framing(resp) == FramedByClose {
-			return nil, errMismatched
-		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
-		if err != nil {
-			return nil, err
-		}
-		if n > maxSkippedBytes {
-			return nil, errMismatched
-		}
-	}
-	return nil, errMismatched
-}
-
 // responseBody is the body of a response; Close returns the connection to the pool if the body was read to its end.
 type responseBody struct {
 	pool       *Pool
@@ -418,10 +352,11 @@
 	}
 	b.closed = true
 	active := b.stopCancel()
-	reusable := !b.isAlone && b.atEOF && active && !b.resp.Close && b.isRequestSent()
+	reusable := !b.isAlone && !b.conn.isSpoiled && b.atEOF && active && !b.resp.Close && b.isRequestSent()
 	if !reusable || framing(b.resp) == FramedByClose {
 		return b.conn.netConn.Close()
 	}
+	b.conn.wasUsed = true
 	b.conn.keepAlive = parseKeepAlive(b.resp.Header, b.conn.keepAlive)
 	b.pool.put(time.Now(), b.address, b.conn)
 	return nil
