Give up sooner on a response to another request

Cause: up to 4 MB of the body of another request's response were read before the connection was closed, while the request waited. Change: 1 MB, the bound of what else a target may send without a meaning for its request. Conclusion: a request whose connection holds such a response ends or moves four times as early.

--- a/internal/wire/connection/pool.go
+++ b/internal/wire/connection/pool.go
@@ -34,8 +34,8 @@
 	maxIdleConns = 6
 	// maxMismatched is how many mismatched responses are read on one connection before it is closed.
 	maxMismatched = 3
-	// maxSkippedBytes bounds the body of a mismatched response that is skipped.
-	maxSkippedBytes = 4 << 20
+	// maxSkippedBytes bounds the body of a mismatched response that is skipped: the response that is waited for stands behind it.
+	maxSkippedBytes = 1 << 20
 	readBufferBytes = 8 << 10
 	// maxHeadBytes bounds a response up to the end of its header.
 	maxHeadBytes = 256 << 10
