--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -137,23 +137,6 @@
 	}
 }
 
-// timeout returns the outcome of a request whose time is over.
-func (g *Gateway) timeout(ctx context.Context, rs *requestState, rw *responseWriter, mayHaveRun bool) *outcome {
-	var out *outcome
-	switch {
-	case rw.headerSent:
-		out = &outcome{kind: truncated, cause: causeTimeout, reason: "time-out of the route", abort: true}
-	case mayHaveRun:
-		out = failure(http.StatusGatewayTimeout, causeTimeout, "time-out of the route")
-	default:
-		out = refusal(causeTimeout, "time-out of the route before a send", shortRetry)
-	}
-	if isEndedByStop(ctx, rs) {
-		return out.withStop()
-	}
-	return out
-}
-
 // balancerRequest returns the balancer's view of a request.
 func (g *Gateway) balancerRequest(now time.Time, rs *requestState) balancer.Request {
 	req := balancer.Request{LocalDatacentre: g.cfg.Datacentre, PromptTokens: rs.Prompt.InputTokens, StartBy: g.startBy(now, rs)}
--- a/internal/wire/gateway/stop.go
+++ b/internal/wire/gateway/stop.go
@@ -146,6 +146,23 @@
 	return errors.Is(context.Cause(ctx), errStopping) || (rs.isBounded && errors.Is(ctx.Err(), context.DeadlineExceeded))
 }
 
+// timeout returns the outcome of a request whose time is over.
+func (g *Gateway) timeout(ctx context.Context, rs *requestState, rw *responseWriter, mayHaveRun bool) *outcome {
+	var out *outcome
+	switch {
+	case rw.headerSent:
+		out = &outcome{kind: truncated, cause: causeTimeout, reason: "time-out of the route", abort: true}
+	case mayHaveRun:
+		out = failure(http.StatusGatewayTimeout, causeTimeout, "time-out of the route")
+	default:
+		out = refusal(causeTimeout, "time-out of the route before a send", shortRetry)
+	}
+	if isEndedByStop(ctx, rs) {
+		return out.withStop()
+	}
+	return out
+}
+
 // setEnd sets what ends the request at the end of a planned stop, and reports whether the stop has ended it already.
 func (g *Gateway) setEnd(rs *requestState, end func(error)) (isEnded bool) {
 	g.mu.Lock()
