Take no piece for a suspect that was not sent

Callers' effect: a sound request whose piece met two crashed targets was rejected as one that crashes targets; and a request whose piece does crash them came out of quarantine again, and crashed one or two targets more. Cause: any failed stage call whose target had crashed struck its pieces, also a call that the target had refused because it was gone. The crashes so shared with sound pieces spoke against the culprit being alone in them. Evidence: TestPieceThatCrashesTargetsIsStopped failed once beside a load of 50 (5 targets crashed, bound 4). In a trial run with its log there, four sound requests are struck by calls with "request was not sent: connection refused", and the quarantine of the culprit is lifted three times before the third crash. Change: a call of which nothing was sent strikes nothing, as for requests in the gateway. Measured: TestPieceThatWasNotSentIsNoSuspect: two strikes before, two runs of two, want none; passes. TestPieceThatCrashesTargetsIsStopped, beside loads of 33 to 50: 2 targets, two runs of two; 3, 3, 3, 3, 3 and 4 before. internal/wire/dispatch passes with -race. TestRequestThatCrashesTargetsIsStopped, which this does not touch, failed in both of these runs: 5 targets, bound 4, in one case of seven. Conclusion: only what was at a target can have crashed it.

--- a/internal/wire/dispatch/dispatcher_test.go
+++ b/internal/wire/dispatch/dispatcher_test.go
@@ -18,6 +18,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/quarantine"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 )
 
 // fakeTargets is a TargetClient for tests; a call takes the time of testProfile unless run says otherwise.
@@ -465,3 +466,21 @@
 		t.Errorf("got %d calls with the piece, want %d", got, maxAttempts)
 	}
 }
+
+// TestPieceThatWasNotSentIsNoSuspect covers pieces that find their target crashed: they did not crash it.
+func TestPieceThatWasNotSentIsNoSuspect(t *testing.T) {
+	f := &fakeTargets{run: func(int, registry.Target, []batch.Piece) ([]batch.Result, error) {
+		return nil, fmt.Errorf("stage call: %w: connection refused", connection.ErrUnsent)
+	}}
+	d := newTestDispatcher(f, target("t-0", "a"), target("t-1", "a"), target("t-2", "a"))
+	d.cfg.CrashedRun = func(_ context.Context, t registry.Target) (notice.Target, bool) { return t.Run(), true }
+	g := testGroup("sound", 1, 10)
+	g.Identity = []byte("sound")
+	results, err := d.Produce(t.Context(), g, Callbacks{OnQueued: func(time.Duration) {}, OnInputsFetched: func() {}})
+	if err != nil || len(results) != 1 || results[0].Reason != batch.Failed {
+		t.Errorf("got results %v, error %v, want one failed piece", results, err)
+	}
+	if got := d.cfg.Quarantine.Own(time.Now()).Strikes; len(got) != 0 {
+		t.Errorf("got strikes %v, want none", got)
+	}
+}
--- a/internal/wire/dispatch/settle.go
+++ b/internal/wire/dispatch/settle.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 )
 
 // runCall makes one call and settles its pieces.
@@ -17,7 +19,7 @@
 	overdue := time.AfterFunc(time.Duration(overdueFactor*float64(c.Expected))+overdueExtra, func() { d.retryOverdue(s, c, profile) })
 	reply, err := d.cfg.Targets.RunBatch(ctx, c.Started, c.Target, c.Pieces, d.recorder(c.Target.Run()))
 	overdue.Stop()
-	if err != nil {
+	if err != nil && !errors.Is(err, connection.ErrUnsent) {
 		d.recordCrash(c)
 	}
 	now := d.cfg.Now()
