Log requests that a stop ends without a data race

Callers saw: nothing that is known; the line of a request that the stop ended could name a wrong stage. Cause: the review of a planned stop logged the stage of a request after it had given up the lock that guards it, while the request, which had just been told to end, changed it. The race detector reported it under load (TestStopAnswersWhatWaits, load average 47); eight runs without load did not. Change: what the log says is collected under the lock. Conclusion: the fields that the review reads are now read under the gateway's lock only.

--- a/internal/wire/gateway/stop.go
+++ b/internal/wire/gateway/stop.go
@@ -44,22 +44,26 @@
 
 // Review ends the requests for which the rest of a planned stop is too short. The plan may have changed since Drain.
 func (g *Gateway) Review(now time.Time, p shutdown.Plan) {
+	for _, fields := range g.endDue(now, p) {
+		g.cfg.Log.WithFields(fields).Warn("gateway: request ended by the stop")
+	}
+}
+
+// endDue ends the requests that have to be ended now, and returns what the log says of each.
+func (g *Gateway) endDue(now time.Time, p shutdown.Plan) []logrus.Fields {
 	g.mu.Lock()
-	var due []*runningRequest
+	defer g.mu.Unlock()
+	var ended []logrus.Fields
 	g.stop = &p
 	for x := range g.running {
-		if !x.isEnded && x.end != nil && p.MustEnd(now, x.stage, g.workOf(now, x)) {
-			x.isEnded = true
-			due = append(due, x)
+		if x.isEnded || x.end == nil || !p.MustEnd(now, x.stage, g.workOf(now, x)) {
+			continue
 		}
-	}
-	for _, x := range due {
+		x.isEnded = true
+		ended = append(ended, logrus.Fields{"request": x.id, "stage": string(x.stage), "left_ms": p.EndsAt.Sub(now).Milliseconds()})
 		x.end(errStopping)
 	}
-	g.mu.Unlock()
-	for _, x := range due {
-		g.cfg.Log.WithFields(logrus.Fields{"request": x.id, "stage": string(x.stage), "left_ms": p.EndsAt.Sub(now).Milliseconds()}).Warn("gateway: request ended by the stop")
-	}
+	return ended
 }
 
 // workOf returns what is known of the rest of a request; the lock is held.
