Count the time that a request has spent in its stages during a stop

Callers saw: 503 from a stopping node that had accepted the request, though it would have ended in time. Cause: a request whose response is passed on as a whole was expected to take as long in its stages, and before its send, as it had on arrival. The review ended it as soon as the reserve that it was accepted with had passed. Change: what has passed in the stages is taken off; the time from the first send to the end is kept for each route by itself, and is the least that is expected. The same holds for the latency objective, where nothing else is known. Conclusion: a request in its stages is ended only once it would not end in time.

--- a/internal/serving/shutdown/history.go
+++ b/internal/serving/shutdown/history.go
@@ -43,7 +43,7 @@
 
 // History is how long the requests of one route took; the zero value is empty. It is not safe for concurrent use.
 type History struct {
-	total, first, perToken recent
+	total, first, perToken, afterStages recent
 }
 
 // Sample is how long one request took.
@@ -52,6 +52,8 @@
 	Total, First time.Duration
 	// OutputTokens is the number of tokens that the caller asked for, 0 if it does not tell.
 	OutputTokens int
+	// AfterStages is the time from the end of its stages to the end of a response that was passed on as a whole, 0 if it has none.
+	AfterStages time.Duration
 }
 
 // Add records a request.
@@ -63,6 +65,9 @@
 	if s.OutputTokens > 0 {
 		h.perToken.add((s.Total - s.First) / time.Duration(s.OutputTokens))
 	}
+	if s.AfterStages > 0 {
+		h.afterStages.add(s.AfterStages)
+	}
 }
 
 // Expected returns how long a request with a number of output tokens is expected to take in all, and to its first byte; false if
@@ -75,3 +80,7 @@
 	}
 	return total, min(first, total), ok
 }
+
+// ExpectedAfterStages returns how long a request whose response is passed on as a whole is expected to take once its stages have
+// ended; false if nothing is known.
+func (h *History) ExpectedAfterStages() (time.Duration, bool) { return h.afterStages.high() }
--- a/internal/wire/gateway/stop.go
+++ b/internal/wire/gateway/stop.go
@@ -27,8 +27,11 @@
 	// objective is how long a request may take by its route, 0 for streams: it bounds only their first byte.
 	objective time.Duration
 	stage     shutdown.Stage
-	// needsInputs is set until the results of the request's stages are there, hasBegun once a part of its response was passed on.
+	// hasStages is set for a request with stages, needsInputs until it is first sent with their results, at sentAt. firstByteAt is
+	// when a part of its response was first passed on.
+	hasStages   bool
 	needsInputs bool
+	sentAt      time.Time
 	firstByteAt time.Time
 	// end ends what the request does now; isEnded is set once the stop has called it.
 	end     func(error)
@@ -75,12 +78,20 @@
 	}
 	if !w.HasExpected {
 		w.Expected, w.HasExpected = x.objective, x.objective > 0
+		if x.needsInputs {
+			w.Expected = max(x.objective-now.Sub(x.received), min(g.firstByteTimes[x.service], x.objective))
+		}
 		return w
 	}
 	firstByte := min(g.firstByteTimes[x.service], first)
+	afterStages, isWhole := g.histories[x.route].ExpectedAfterStages()
 	switch {
 	case !x.firstByteAt.IsZero():
 		w.Expected = max(0, total-first-now.Sub(x.firstByteAt))
+	case x.needsInputs && isWhole:
+		w.Expected = max(total-now.Sub(x.received), afterStages)
+	case x.hasStages && isWhole:
+		w.Expected = afterStages
 	case x.needsInputs:
 		w.Expected = max(first-now.Sub(x.received), firstByte) + total - first
 	default:
@@ -95,7 +106,8 @@
 	defer g.mu.Unlock()
 	x := rs.run
 	x.route, x.service, x.deadline, x.outputTokens = rs.route.Name, rs.service.Name, rs.deadline.Add(responseMargin), rs.Prompt.OutputTokens
-	x.needsInputs = len(rs.route.Stages) > 0
+	x.hasStages = len(rs.route.Stages) > 0
+	x.needsInputs = x.hasStages
 	if rs.route.RetryPolicy != route.Streaming {
 		x.objective = rs.route.LatencyObjective
 	}
@@ -169,6 +181,9 @@
 	x.stage = s
 	if s == shutdown.Sent {
 		x.needsInputs = false
+		if x.sentAt.IsZero() {
+			x.sentAt = g.cfg.Now()
+		}
 		if !x.firstByteAt.IsZero() {
 			x.stage = shutdown.Begun
 		}
@@ -208,8 +223,11 @@
 		g.histories[x.route] = h
 	}
 	sample := shutdown.Sample{Total: now.Sub(x.received), OutputTokens: x.outputTokens}
-	if !x.firstByteAt.IsZero() {
+	switch {
+	case !x.firstByteAt.IsZero():
 		sample.First = x.firstByteAt.Sub(x.received)
+	case x.hasStages && !x.sentAt.IsZero():
+		sample.AfterStages = now.Sub(x.sentAt)
 	}
 	h.Add(sample)
 }
