Make no second attempt for which too little time is left

Callers saw: 504 in place of the response of the first target, that is a complete failure, or even a success that it was about to send. Cause: a retryable request was sent to another target, or moved there, until its deadline, however long targets of the service take to respond. The second target worked in vain, and the shared budget for retries was used. Change: a request that has been sent once is sent again, or moved, only if half of the average time to a first byte is left. Half, since some requests are faster than others. What concerns the time of sends is in a file of its own. Conclusion: the first send of a request is not bounded so: where a service is slow, it is what brings a new average.

--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -18,13 +18,8 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/eventstream"
 )
 
-const (
-	// maxUnsent bounds the targets that are tried without a byte having been sent.
-	maxUnsent = 4
-	// A retryable request without a response moves to another target after 1/moveDivisor of the time left until its
-	// deadline, or after the route's latency objective if that is longer.
-	moveDivisor = 3
-)
+// maxUnsent bounds the targets that are tried without a byte having been sent.
+const maxUnsent = 4
 
 // errMoved ends a send that takes too long while another target may be tried.
 var errMoved = errors.New("target did not respond in time for another attempt")
@@ -64,6 +59,10 @@
 		if out := g.checkQuarantine(now, rs); out != nil {
 			return out
 		}
+		if rs.sends > 0 && g.isPastRetry(now, rs, rw) {
+			fallback.reason += "; no time for another attempt"
+			return fallback
+		}
 		if g.isTooLate(now, rs) {
 			return fallback.withStop()
 		}
@@ -170,21 +169,6 @@
 	return candidates[0].Target.Datacentre
 }
 
-// lateWait is how long a request that misses its latency objective anyway may wait for a target.
-const lateWait = 300 * time.Millisecond
-
-// startBy returns until when a request may wait for a target.
-func (g *Gateway) startBy(now time.Time, rs *requestState) time.Time {
-	by := rs.objective
-	if late := now.Add(lateWait); by.Before(late) {
-		by = late
-	}
-	if rs.firstByteBy.Before(by) {
-		by = rs.firstByteBy
-	}
-	return by.Add(-g.firstByteTime(rs))
-}
-
 func sleepUntil(ctx context.Context, now, until time.Time) {
 	timer := time.NewTimer(until.Sub(now))
 	defer timer.Stop()
@@ -306,22 +290,13 @@
 	return o.cause == causeTruncated
 }
 
-// moveTimeout returns how long to wait for a response header before the request moves to another target, or 0 if it
-// does not move.
-func (g *Gateway) moveTimeout(now time.Time, rs *requestState) time.Duration {
-	if !rs.route.IsRetryable() || rs.sends+1 >= rs.route.MaxAttempts {
-		return 0
-	}
-	return max(rs.route.LatencyObjective, rs.deadline.Sub(now)/moveDivisor)
-}
-
 // send makes one attempt and passes the response on.
 func (g *Gateway) send(ctx context.Context, r *http.Request, rs *requestState, rw *responseWriter, t registry.Target) sendResult {
 	started := g.cfg.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	rw.stopMove = nil
-	if timeout := g.moveTimeout(started, rs); timeout > 0 {
+	if timeout := g.moveTimeout(started, rs, rw); timeout > 0 {
 		move := time.AfterFunc(timeout, func() { cancel(errMoved) })
 		defer move.Stop()
 		rw.stopMove = func() { move.Stop() }
@@ -495,27 +470,3 @@
 	rw.onStart()
 	return sendResult{final: buffered.write(rw.w)}
 }
-
-// defaultFirstByteTime is the time to the first byte of a model's response that is assumed until one has arrived.
-const defaultFirstByteTime = 150 * time.Millisecond
-
-// recordFirstByte adds the time from a send to the first byte of its response to the average of the service.
-func (g *Gateway) recordFirstByte(rs *requestState, took time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	average, ok := g.firstByteTimes[rs.service.Name]
-	if !ok {
-		average = took
-	}
-	g.firstByteTimes[rs.service.Name] = average + (took-average)/8
-}
-
-// firstByteTime returns the average time from a send to the first byte of a response.
-func (g *Gateway) firstByteTime(rs *requestState) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if d, ok := g.firstByteTimes[rs.service.Name]; ok {
-		return d
-	}
-	return defaultFirstByteTime
-}
