Send no request with results whose time to live is over

Callers saw: a later response: the target rejected the request, which had used up an attempt, and its stages were run again only then. Cause: a request that waited for a target (paused, limited) did not know when the results of its stages expire. Change: the time to live in the configuration counts from the end of each last stage; once it is over, the stages are run again before the send, as they are when results have been freed. Conclusion: a piece that was made long before the others of its stage may still expire sooner than is known; the target's rejection covers that.

--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -66,7 +66,7 @@
 		if g.isTooLate(now, rs) {
 			return fallback.withStop()
 		}
-		if rs.inputsFreed {
+		if rs.haveInputsExpired(now) {
 			return fallback.withInputLost()
 		}
 		p := g.pickTarget(ctx, now, rs, tried)
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -161,7 +161,9 @@
 	held   []heldResults
 	// inputsFreed is set once the inputs have been freed, so that no further target can read them.
 	inputsFreed bool
-	sends       int
+	// inputsExpireAt is when the first of the inputs expires, zero if none does.
+	inputsExpireAt time.Time
+	sends          int
 	// sentTo are the addresses of the targets that the request was sent to; another response from there has the same ID.
 	sentTo map[string]bool
 	// mayHaveRun is set if a target may have run the request.
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -30,6 +30,8 @@
 	// unfetched counts for each stage the stages that have not fetched its results yet.
 	unfetched []int
 	err       error
+	// expireAt is when the results of each stage expire, zero if they do not.
+	expireAt []time.Time
 	// nodes has for each stage the node whose dispatcher ran it, tookMS how long that took.
 	nodes  []string
 	tookMS []int64
@@ -40,6 +42,7 @@
 	sr := &stageRun{
 		graph: graph, remainingTimes: graph.RemainingTimes(), likelyDatacentre: likelyDatacentre, ended: make([]chan struct{}, n), results: make([][]batch.Result, n),
 		held: make([]heldResults, n), unfetched: route.DependentCounts(graph.Stages), nodes: make([]string, n), tookMS: make([]int64, n),
+		expireAt: make([]time.Time, n),
 	}
 	for i := range sr.ended {
 		sr.ended[i] = make(chan struct{})
@@ -72,7 +75,7 @@
 
 // runStages runs the stages of a request; it returns nil if all results are there.
 func (g *Gateway) runStages(ctx context.Context, r *http.Request, rs *requestState) *outcome {
-	rs.inputs, rs.inputsFreed = nil, false
+	rs.inputs, rs.inputsFreed, rs.inputsExpireAt = nil, false, time.Time{}
 	if len(rs.route.Stages) == 0 {
 		return nil
 	}
@@ -111,6 +114,9 @@
 		for _, x := range sr.results[i] {
 			rs.inputs = append(rs.inputs, x.Handle)
 		}
+		if at := sr.expireAt[i]; !at.IsZero() && (rs.inputsExpireAt.IsZero() || at.Before(rs.inputsExpireAt)) {
+			rs.inputsExpireAt = at
+		}
 	}
 	return nil
 }
@@ -176,10 +182,23 @@
 	sr.mu.Lock()
 	sr.results[i] = out.Results
 	sr.held[i] = heldResults{node: out.Node, handles: handles}
+	if made, ok := rs.table.Service(s.Service); ok && made.Batch.ResultTTL > 0 {
+		ttl := made.Batch.ResultTTL
+		sr.expireAt[i] = g.cfg.Now().Add(ttl - min(inputReadTime, ttl/4))
+	}
 	sr.mu.Unlock()
 	return stageErr
 }
 
+// inputReadTime is the most that is taken off the time for which results stay: they were made before this node learned of them, and the
+// target has to read them.
+const inputReadTime = 100 * time.Millisecond
+
+// haveInputsExpired reports whether the results of a request's stages can no longer be read.
+func (rs *requestState) haveInputsExpired(now time.Time) bool {
+	return rs.inputsFreed || (len(rs.inputs) > 0 && !rs.inputsExpireAt.IsZero() && !now.Before(rs.inputsExpireAt))
+}
+
 // maxShards bounds the shards that are tried for one group: a second one if the first refuses it.
 const maxShards = 2
 
