Send nothing to a limited target that has left while a request waited for it

Cause: a request that waits at the keeper for a place keeps the target that was chosen before the wait; whether it may still be used was not asked again. Change: before each send, the target has to be usable still; otherwise the request is placed anew. A wait ends once none of its targets may be used. Conclusion: the same check covers waits for trials of requests in quarantine.

--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -92,6 +92,12 @@
 			await(ctx, cleared.wait)
 			continue
 		}
+		if !g.isUsable(t) {
+			// It has left while the request waited for a grant or a trial.
+			cleared.onEnd(false)
+			g.unpick(now, rs, t)
+			continue
+		}
 		if rs.sends > 0 && !g.AllowRetry(now, rs.service.Name) {
 			cleared.onEnd(false)
 			g.unpick(now, rs, t)
--- a/internal/wire/gateway/limit.go
+++ b/internal/wire/gateway/limit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/coldstart"
@@ -11,6 +12,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/balancer"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/schedule"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/permit"
 )
 
 const (
@@ -102,8 +104,11 @@
 // room; neither if the request should be placed anew.
 func (g *Gateway) await(ctx context.Context, now time.Time, rs *requestState, list []balancer.Candidate) (t *balancer.Candidate, retryAfter time.Duration) {
 	for _, group := range byPool(rs, list) {
-		r := g.cfg.Permits.Reserve(ctx, poolOf(group[0].Target), g.groupClaim(now, rs, group))
+		r, hasLeft := g.reserve(ctx, poolOf(group[0].Target), g.groupClaim(now, rs, group), group)
 		rs.recordReservation(r)
+		if hasLeft {
+			return nil, 0
+		}
 		switch d := r.Decision.(type) {
 		case ratelimit.Granted:
 			i := slices.IndexFunc(group, func(x balancer.Candidate) bool { return x.Target.Run() == d.Target })
@@ -122,6 +127,41 @@
 	return nil, retryAfter
 }
 
+// usableInterval is the time between two looks at the targets that a request waits for.
+const usableInterval = 50 * time.Millisecond
+
+// reserve asks for a grant at any target of a group. It ends, and hasLeft is set, once none of them may be used any more.
+func (g *Gateway) reserve(ctx context.Context, p ratelimit.Pool, claim ratelimit.Claim, group []balancer.Candidate) (r permit.Reservation, hasLeft bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	var watcher sync.WaitGroup
+	watcher.Go(func() {
+		ticker := time.NewTicker(usableInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			if !slices.ContainsFunc(group, func(c balancer.Candidate) bool { return g.isUsable(c.Target) }) {
+				hasLeft = true
+				cancel()
+				return
+			}
+		}
+	})
+	r = g.cfg.Permits.Reserve(ctx, p, claim)
+	cancel()
+	watcher.Wait()
+	return r, hasLeft
+}
+
+// isUsable reports whether a target, as it was chosen, may still be sent to.
+func (g *Gateway) isUsable(t registry.Target) bool {
+	usable := slices.ContainsFunc(g.cfg.Registry().Usable(t.Service), func(x registry.Target) bool { return x.Run() == t.Run() })
+	return usable && !g.cfg.Notices.Board().Leaving(t.Run())
+}
+
 // byPool groups limited candidates by their pools, that with the earliest grant first and the one in which the request has been
 // announced before all.
 func byPool(rs *requestState, list []balancer.Candidate) [][]balancer.Candidate {
