--- a/internal/wire/gateway/load.go
+++ b/internal/wire/gateway/load.go
@@ -136,27 +136,3 @@
 
 // PruneTargets drops the load state of targets that are no longer used.
 func (g *Gateway) PruneTargets(now time.Time) { g.loads.prune(now) }
-
-// defaultFirstByteTime is the time to the first byte of a model's response that is assumed until one has arrived.
-const defaultFirstByteTime = 150 * time.Millisecond
-
-// recordFirstByte adds the time from a send to the first byte of its response to the average of the service.
-func (g *Gateway) recordFirstByte(rs *requestState, took time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	average, ok := g.firstByteTimes[rs.service.Name]
-	if !ok {
-		average = took
-	}
-	g.firstByteTimes[rs.service.Name] = average + (took-average)/8
-}
-
-// firstByteTime returns the average time from a send to the first byte of a response.
-func (g *Gateway) firstByteTime(rs *requestState) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if d, ok := g.firstByteTimes[rs.service.Name]; ok {
-		return d
-	}
-	return defaultFirstByteTime
-}
