Count the stages that run again, and the next target's first byte, as work to come

Cause: found by the review: late in a stop a stream that waits for another target was expected to need only what was left of its usual time, and a request whose stages run again only its send; both were ended later than the rest of the stop allowed. Change: the first byte of the next target is added, and stages count from the moment at which they run again. Result: TestRestOfRequest: six cases pass; not run on the code before, which lacks the fields. Conclusion: both end while their callers have time to go elsewhere.

--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -80,6 +80,7 @@
 		return nil
 	}
 	started := g.cfg.Now()
+	g.beginStages(started, rs)
 	graph := schedule.StageGraph{Stages: rs.route.Stages, PieceCounts: rs.PieceCounts, BatchProfile: func(service string) route.BatchProfile {
 		s, _ := rs.table.Service(service)
 		return s.Batch
--- a/internal/wire/gateway/stop.go
+++ b/internal/wire/gateway/stop.go
@@ -27,10 +27,11 @@
 	// objective is how long a request may take by its route, 0 for streams: it bounds only their first byte.
 	objective time.Duration
 	stage     shutdown.Stage
-	// hasStages is set for a request with stages, needsInputs until it is first sent with their results, at sentAt. firstByteAt is
-	// when a part of its response was first passed on.
+	// hasStages is set for a request with stages, needsInputs while these run, since stagesAt, until it is sent with their results, first
+	// at sentAt. firstByteAt is when a part of its response was first passed on.
 	hasStages   bool
 	needsInputs bool
+	stagesAt    time.Time
 	sentAt      time.Time
 	firstByteAt time.Time
 	// end ends what the request does now; isEnded is set once the stop has called it.
@@ -79,21 +80,23 @@
 	if !w.HasExpected {
 		w.Expected, w.HasExpected = x.objective, x.objective > 0
 		if x.needsInputs {
-			w.Expected = max(x.objective-now.Sub(x.received), min(g.firstByteTimes[x.service], x.objective))
+			w.Expected = max(x.objective-now.Sub(x.stagesAt), min(g.firstByteTimes[x.service], x.objective))
 		}
 		return w
 	}
 	firstByte := min(g.firstByteTimes[x.service], first)
 	afterStages, isWhole := g.histories[x.route].ExpectedAfterStages()
 	switch {
+	case !x.firstByteAt.IsZero() && x.stage == shutdown.Waiting:
+		w.Expected = max(0, total-first-now.Sub(x.firstByteAt)) + firstByte
 	case !x.firstByteAt.IsZero():
 		w.Expected = max(0, total-first-now.Sub(x.firstByteAt))
 	case x.needsInputs && isWhole:
-		w.Expected = max(total-now.Sub(x.received), afterStages)
+		w.Expected = max(total-now.Sub(x.stagesAt), afterStages)
 	case x.hasStages && isWhole:
 		w.Expected = afterStages
 	case x.needsInputs:
-		w.Expected = max(first-now.Sub(x.received), firstByte) + total - first
+		w.Expected = max(first-now.Sub(x.stagesAt), firstByte) + total - first
 	default:
 		w.Expected = firstByte + total - first
 	}
@@ -107,7 +110,7 @@
 	x := rs.run
 	x.route, x.service, x.deadline, x.outputTokens = rs.route.Name, rs.service.Name, rs.deadline.Add(responseMargin), rs.Prompt.OutputTokens
 	x.hasStages = len(rs.route.Stages) > 0
-	x.needsInputs = x.hasStages
+	x.needsInputs, x.stagesAt = x.hasStages, x.received
 	if rs.route.RetryPolicy != route.Streaming {
 		x.objective = rs.route.LatencyObjective
 	}
@@ -207,6 +210,13 @@
 	}
 }
 
+// beginStages records that the stages of a request run, the first or a further time.
+func (g *Gateway) beginStages(now time.Time, rs *requestState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rs.run.needsInputs, rs.run.stagesAt = true, now
+}
+
 // begin records that a request is being served, and what its line in the log says if the node is stopping.
 func (g *Gateway) begin(r *http.Request, rs *requestState) {
 	isKept := countRequest(r)
--- a/internal/wire/gateway/stop_test.go
+++ b/internal/wire/gateway/stop_test.go
@@ -35,3 +35,38 @@
 		}
 	}
 }
+
+// TestRestOfRequest covers what a stopping node expects of requests by how far they have come.
+func TestRestOfRequest(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	g := New(Config{})
+	g.firstByteTimes["model"] = 200 * time.Millisecond
+	h := &shutdown.History{}
+	for range 200 {
+		h.Add(shutdown.Sample{Total: 1500 * time.Millisecond, First: 1000 * time.Millisecond})
+	}
+	g.histories["chat"] = h
+	tests := []struct {
+		name string
+		rest runningRequest
+		want time.Duration
+	}{
+		{name: "stages have just begun", rest: runningRequest{needsInputs: true, stagesAt: now}, want: 1500 * time.Millisecond},
+		{name: "stages have run for 700 ms", rest: runningRequest{needsInputs: true, stagesAt: now.Add(-700 * time.Millisecond)}, want: 800 * time.Millisecond},
+		{name: "stages run again after 700 ms", rest: runningRequest{received: now.Add(-700 * time.Millisecond), needsInputs: true, stagesAt: now}, want: 1500 * time.Millisecond},
+		{name: "waits for a target", rest: runningRequest{}, want: 700 * time.Millisecond},
+		{name: "stream for 300 ms", rest: runningRequest{stage: shutdown.Begun, firstByteAt: now.Add(-300 * time.Millisecond)}, want: 200 * time.Millisecond},
+		{name: "stream for 300 ms, waits for another target", rest: runningRequest{stage: shutdown.Waiting, firstByteAt: now.Add(-300 * time.Millisecond)}, want: 400 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := tt.rest
+			x.route, x.service = "chat", "model"
+			got := g.workOf(now, &x).Expected
+			// The expectation lies a little above what the requests took, by their number.
+			if most := tt.want + 50*time.Millisecond; got < tt.want || got > most {
+				t.Errorf("got %s, want %s to %s", got, tt.want, most)
+			}
+		})
+	}
+}
