--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -30,7 +30,7 @@
 //
 // If every node watched the store, the number of calls would grow with the fleet. In each data centre the nodes with the
 // highest link capacity are the relays, because a large configuration goes to all other nodes there at the same time. The
-// store may reject all relays of a data centre, or answer one of them late, so those of the other data centres follow in the list.
+// store may reject all relays of a data centre, so one of each other data centre follows in the list.
 func RelaysFor(self string, nodes []registry.Node) []registry.Node {
 	if len(nodes) < minFleetSize {
 		return nil
@@ -46,13 +46,10 @@
 		return nil
 	}
 	delete(byDatacentre, local)
-	var first, spare []registry.Node
 	for _, d := range rendezvous.Rank("relay/"+self, slices.Collect(maps.Keys(byDatacentre))) {
-		remote := relaysOf(byDatacentre[d], relaysPerDatacentre)
-		first = append(first, remote[0])
-		spare = append(spare, remote[1:]...)
+		relays = append(relays, relaysOf(byDatacentre[d], 1)...)
 	}
-	return slices.Concat(relays, first, spare)
+	return relays
 }
 
 // maxPeers bounds the nodes that are tried in place of the store.
@@ -127,8 +124,8 @@
 	return min(maxStoreAge, max(minStoreAge, applyTime-readTime))
 }
 
-// lateGrace is the additional age that a relay's view may have when a follower joins it, and how long it may.
-const lateGrace = 500 * time.Millisecond
+// joinGrace is the additional age that a relay's view may have when a follower joins it, and how long it may.
+const joinGrace = 500 * time.Millisecond
 
 // JoinGrace returns the additional age that the view of a relay may have that has been followed for a time.
 //
@@ -136,16 +133,12 @@
 // fresh again within the grace, while all of them would otherwise turn to the store, each with a list and a watch of every
 // kind.
 func JoinGrace(followed time.Duration) time.Duration {
-	if followed < lateGrace {
-		return lateGrace
+	if followed < joinGrace {
+		return joinGrace
 	}
 	return 0
 }
 
-// LateAge returns the age that the view of a relay may have while no other relay has a fresher one, given the age from which it is
-// stale: the watches of all relays may be late at the same time.
-func LateAge(maxAge time.Duration) time.Duration { return maxAge + lateGrace }
-
 // Report is the last report of a relay and the time of its receipt.
 type Report struct {
 	ReceivedAt time.Time
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -30,7 +30,7 @@
 		want int
 	}{
 		{"small fleet", "n1", 15, 0},
-		{"large fleet, two relays and two elsewhere", "n3", 32, 4},
+		{"large fleet, two relays and one elsewhere", "n3", 32, 3},
 		{"unlisted node", "x", 32, 0},
 	} {
 		if got := len(RelaysFor(c.self, fleet(c.n))); got != c.want {
--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -32,12 +32,6 @@
 	// the others look for one.
 	settleTime  = 600 * time.Millisecond
 	roleTimeout = 1200 * time.Millisecond
-	// searchInterval is how often a node without a fresh relay tries all of them again. A relay's contact with the store that is
-	// later than the first by more than heartbeatSlack is another one: reports differ in their time on the network.
-	searchInterval = 50 * time.Millisecond
-	heartbeatSlack = 100 * time.Millisecond
-	// silentSearch is longer than a search in which no relay answers.
-	silentSearch = 5 * time.Second
 	// lossSpread is longer than any watch but that of the nodes' objects.
 	lossSpread = 3 * time.Second
 )
@@ -248,59 +242,16 @@
 
 // followAnyRelay follows the first fresh relay, and then the next; it reports whether the first ones should be tried again
 // because the last one was a substitute for a relay.
-//
-// Relays that are stale only a little are followed if none is fresh, and all are tried again until the node's own view is too
-// old: their next watch most likely ends sooner than a read of the store by every follower.
 func (v *fleetView) followAnyRelay(ctx context.Context) (retry bool) {
-	relays, maxAge := v.relays(), v.maxStoreAge()
-	var stale []registry.Node
-	follow := func(r registry.Node, staleAge time.Duration) (isOver bool) {
+	for _, r := range v.relays() {
 		// The store may serve the next relay although it rejects this one.
-		err := v.followRelay(ctx, r, staleAge)
+		err := v.followRelay(ctx, r)
 		v.cfg.Log.WithError(err).WithField("relay", r.Name).Info("relay: lost")
-		if errors.Is(err, errRelayStale) {
-			stale = append(stale, r)
-		}
-		return errors.Is(err, errSubstituteEnded) || ctx.Err() != nil
-	}
-	for {
-		begun := v.cfg.Now()
-		for _, r := range relays {
-			if follow(r, maxAge) {
-				return v.hasRelay()
-			}
-		}
-		if len(stale) == 0 {
-			return false
-		}
-		relays, stale = stale, nil
-		for _, r := range relays {
-			if follow(r, relay.LateAge(maxAge)) {
-				return v.hasRelay()
-			}
-		}
-		if mode, _ := v.source.state(); mode != fromRelay || v.relayAge(v.cfg.Now()) > relay.LateAge(maxAge) {
-			return false
-		}
-		pause(ctx, searchInterval)
-		stale = nil
-		// Silent relays are not waited for again, but one that was followed for a while leaves time for all.
-		if v.cfg.Now().Sub(begun) > silentSearch {
-			relays = v.relays()
+		if errors.Is(err, errSubstituteEnded) {
+			return v.hasRelay()
 		}
 	}
-}
-
-// maxStoreAge returns the age of a relay's view from which it is stale.
-func (v *fleetView) maxStoreAge() time.Duration {
-	return relay.MaxStoreAge(min(v.cfg.Settings.DrainTime, v.cfg.Settings.ConfigTime))
-}
-
-// relayAge returns how long ago the store last answered a relay that this node followed then.
-func (v *fleetView) relayAge(now time.Time) time.Duration {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return now.Sub(v.relayContact)
+	return false
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -340,36 +291,32 @@
 	return r.Datacentre != v.cfg.Settings.Datacentre || v.unavailableFor(v.cfg.Now()) > 0
 }
 
-// followRelay applies the updates of one relay until the stream ends or the relay is stale. Its view may have staleAge until the
-// store has answered it once more.
-func (v *fleetView) followRelay(ctx context.Context, r registry.Node, staleAge time.Duration) error {
+// followRelay applies the updates of one relay until the stream ends or the relay is stale.
+func (v *fleetView) followRelay(ctx context.Context, r registry.Node) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if v.isSubstitute(r) {
 		retry := time.AfterFunc(substitutePeriod, func() { cancel(errSubstituteEnded) })
 		defer retry.Stop()
 	}
-	joined, firstContact := v.cfg.Now(), time.Time{}
+	maxAge := relay.MaxStoreAge(min(v.cfg.Settings.DrainTime, v.cfg.Settings.ConfigTime))
+	joined := v.cfg.Now()
+	var mu sync.Mutex
+	var report relay.Report
 	followed := false
 	staleTimer := time.AfterFunc(time.Hour, func() {})
 	defer func() { staleTimer.Stop() }()
 	err := snapshot.Follow(ctx, r.Address, func(u snapshot.Update, age time.Duration) error {
 		now := v.cfg.Now()
-		contact := now.Add(-age)
-		if firstContact.IsZero() {
-			firstContact = contact
-		}
-		report := relay.Report{ReceivedAt: now, StoreAge: age, MaxStoreAge: v.maxStoreAge() + relay.JoinGrace(now.Sub(joined))}
-		if contact.Sub(firstContact) <= heartbeatSlack {
-			report.MaxStoreAge = max(report.MaxStoreAge, staleAge)
-		}
+		mu.Lock()
+		report = relay.Report{ReceivedAt: now, StoreAge: age, MaxStoreAge: maxAge + relay.JoinGrace(now.Sub(joined))}
+		mu.Unlock()
 		if !report.Fresh(now) {
 			return errRelayStale
 		}
 		staleTimer.Stop()
 		staleTimer = time.AfterFunc(report.FreshFor(now), func() { cancel(errRelayStale) })
-		v.applyUpdate(u, contact)
-		v.recordRelayContact(contact)
+		v.applyUpdate(u, now.Add(-age))
 		if u.Lists != nil && !followed {
 			followed = true
 			v.source.set(fromRelay)
@@ -383,14 +330,6 @@
 	return err
 }
 
-func (v *fleetView) recordRelayContact(at time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if at.After(v.relayContact) {
-		v.relayContact = at
-	}
-}
-
 // applyUpdate applies an update of a relay that last heard from the store at contact.
 func (v *fleetView) applyUpdate(u snapshot.Update, contact time.Time) {
 	handlers := v.handlers()
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -97,8 +97,6 @@
 	cached map[string]*cachedList
 	// lastContact is when the store, or a relay in its place, last answered, by kind.
 	lastContact map[string]time.Time
-	// relayContact is when the store last answered a relay that this node followed then.
-	relayContact time.Time
 
 	unreadable unreadableObjects
 
