Product's planned stop: accept what ends within timing.grace, end the rest with its outcome

Cause: process.Stop waited without a bound, so whatever supervises the process killed it at some time and callers lost their connections, a keyed call its outcome. During the balancer's lag everything was accepted, also what could not end; after it nothing, also what would have ended on open connections.

Change: timing.grace (15 s: the lag of 2 s, the longest deadline of the examples of 9 s, and the reserve), checked against the lag. The coordinator asks shutdown.Plan on arrival, before another attempt, while a request waits and every 20 ms, with what the pipeline took lately (in all and from each stage on). What is left when the node answers last gets notrun, failed or unknown; a claim that may still become durable is made void. Look-ups, and streams of requests that other nodes run, end with the stop. The moment at which connections are closed is now a method of the plan, which both stops use. Targets are handed over while the lag runs, not before it.

Conclusion: the product's own interface gives what it accepts an outcome before the process is killed.

--- a/internal/bench/testbed/testbed.go
+++ b/internal/bench/testbed/testbed.go
@@ -52,6 +52,8 @@
 	Log io.Writer
 	// Timing replaces the default timing, unless its lease is 0.
 	Timing settings.Timing
+	// Grace replaces the grace period of the timing, unless it is 0.
+	Grace time.Duration
 	// EditObjects changes the objects before they are published; it may be nil.
 	EditObjects func(release.Set)
 	// WithProxies puts a fault proxy before each node's peer address.
@@ -221,6 +223,9 @@
 	if b.cfg.Timing.Lease > 0 {
 		s.Timing = b.cfg.Timing
 	}
+	if b.cfg.Grace > 0 {
+		s.Timing.Grace = duration.Duration(b.cfg.Grace)
+	}
 	l, err := net.Listen("tcp", s.Peer.Address)
 	if err != nil {
 		return err
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -89,7 +89,8 @@
 	highestRelease atomic.Uint64
 	lastTick       atomic.Int64
 	activeAttempts atomic.Int64
-	closed         atomic.Bool
+	// closed is set once the node no longer takes attempts on its targets.
+	closed atomic.Bool
 	// leaseGivenUp is set under leaseMu before the node ends its lease; from then on it neither renews nor joins.
 	leaseGivenUp atomic.Bool
 	leaseMu      sync.Mutex
@@ -238,8 +239,6 @@
 func (n *Node) Unavailable(now time.Time) (outcome.NotRun, bool) {
 	retry := n.cfg.Settings.Timing.Heartbeat.Duration()
 	switch {
-	case n.closed.Load():
-		return outcome.NotRun{Reason: outcome.Stopping, Text: "this node is stopping", RetryAfter: retry}, true
 	case n.Release() == nil:
 		return outcome.NotRun{Reason: outcome.NotReady, Text: "this node has no release yet", RetryAfter: retry}, true
 	case !n.hasQuorum(now):
--- a/internal/fleet/node/stop.go
+++ b/internal/fleet/node/stop.go
@@ -2,25 +2,53 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/lease"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/member"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/shutdown"
 )
 
-const idlePollInterval = 20 * time.Millisecond
+const (
+	idlePollInterval = 20 * time.Millisecond
+	// reviewInterval is the time between two looks at the requests that run during a planned stop.
+	reviewInterval = 20 * time.Millisecond
+)
 
-// Drain hands over the owned targets and returns once all requests and attempts have ended, or ctx has.
-func (n *Node) Drain(ctx context.Context) {
-	n.log.Info("stopping")
+// Drain hands over the owned targets and returns once all requests and attempts have ended, or ctx has. From then on until ctx ends, the
+// node serves what ends in time by the plan.
+func (n *Node) Drain(ctx context.Context, p shutdown.Plan) {
+	n.log.With("grace_ms", p.KilledAt.Sub(p.BeganAt).Milliseconds()).With("answer_by_ms", p.AnswerBy.Sub(p.BeganAt).Milliseconds()).Info("stopping")
 	n.updateSelf(func(m member.Member) member.Member { return m.WithState(member.Stopping, n.cfg.Now()) })
-	n.handOverAll(ctx)
+	n.coordinator.Drain(p)
+	go n.reviewRequests(ctx, p)
+	var handOver sync.WaitGroup
+	handOver.Go(func() { n.handOverAll(ctx) })
 	// The load balancer keeps sending callers here until it notices the new state.
-	sleep(ctx, n.cfg.Settings.Timing.BalancerLag.Duration())
-	n.handOverAll(ctx)
+	sleep(ctx, p.LagEndsAt.Sub(n.cfg.Now()))
 	n.closed.Store(true)
-	n.awaitIdle(ctx)
+	handOver.Wait()
+	n.handOverAll(ctx)
+	n.AwaitIdle(ctx)
+}
+
+// reviewRequests ends the requests for which the rest of a planned stop is too short, until ctx ends.
+func (n *Node) reviewRequests(ctx context.Context, p shutdown.Plan) {
+	ticker := time.NewTicker(reviewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := n.cfg.Now()
+		for _, x := range n.coordinator.Review(now) {
+			n.log.With("request", x.ID).With("stage", x.Stage).With("left_ms", p.EndsAt.Sub(now).Milliseconds()).Info("request ended by the stop")
+		}
+	}
 }
 
 // Leave removes a drained node from the fleet and stops it.
@@ -47,8 +75,8 @@
 	}
 }
 
-// awaitIdle returns once no request coordinated here and no attempt on an owned target runs, or ctx ends.
-func (n *Node) awaitIdle(ctx context.Context) {
+// AwaitIdle returns once no request coordinated here and no attempt on an owned target runs, or ctx ends.
+func (n *Node) AwaitIdle(ctx context.Context) {
 	for ctx.Err() == nil && (n.coordinator.Active() > 0 || n.activeAttempts.Load() > 0) {
 		sleep(ctx, idlePollInterval)
 	}
--- a/internal/operator/gatewaynode/stop.go
+++ b/internal/operator/gatewaynode/stop.go
@@ -140,7 +140,7 @@
 			hasLagged = true
 			events.onLagEnded()
 		}
-		if now.After(plan.EndsAt.Add(plan.KilledAt.Sub(plan.EndsAt) / 4)) {
+		if now.After(plan.ClosesAt()) {
 			events.onEnd()
 			return
 		}
--- a/internal/operator/process/process.go
+++ b/internal/operator/process/process.go
@@ -21,6 +21,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/vm"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/shutdown"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/callerapi"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/operatorapi"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/transport"
@@ -56,6 +57,9 @@
 	servers          []server
 	callerListener   net.Listener
 	operatorListener net.Listener
+	// closing ends the waits of callers that wait for what other nodes do.
+	closing    context.Context
+	endWaiting context.CancelFunc
 }
 
 // httpPlatform accesses the platform over HTTP.
@@ -78,6 +82,7 @@
 // Start opens all listeners and starts the node.
 func Start(cfg Config) (*Process, error) {
 	p := &Process{cfg: cfg}
+	p.closing, p.endWaiting = context.WithCancel(context.Background())
 	if cfg.Platform == nil {
 		p.cfg.Platform = NewHTTPPlatform(cfg.Settings.Platform)
 	}
@@ -134,7 +139,7 @@
 	if p.node, err = node.New(cfg); err != nil {
 		return err
 	}
-	h, err := callerapi.NewHandler(callerapi.Config{Node: p.node, MaxBodyBytes: int64(s.Caller.MaxBody), Now: time.Now, Log: p.cfg.Log})
+	h, err := callerapi.NewHandler(callerapi.Config{Node: p.node, MaxBodyBytes: int64(s.Caller.MaxBody), Closing: p.closing, Now: time.Now, Log: p.cfg.Log})
 	if err != nil {
 		return err
 	}
@@ -203,24 +208,38 @@
 	return p.operatorListener.Addr().String()
 }
 
-// Stop drains and stops the process: running requests finish unless ctx ends. Streams that callers read here, but
-// whose coordinator is another node, finish before the node leaves its peers.
+// Stop drains and stops the process within its grace period: requests that end in time finish unless ctx ends. Streams that callers
+// read here, but whose coordinator is another node, finish before the node leaves its peers.
 func (p *Process) Stop(ctx context.Context) {
+	t := p.cfg.Settings.Timing
+	plan := shutdown.NewPlan(time.Now(), t.Grace.Duration(), t.BalancerLag.Duration())
+	open, closeAll := context.WithDeadline(ctx, plan.ClosesAt())
+	defer closeAll()
 	for _, s := range p.servers {
 		s.listener.EndKeepAlives()
 	}
-	p.node.Drain(ctx)
+	waits := time.AfterFunc(time.Until(plan.EndsAt), p.endWaiting)
+	defer waits.Stop()
+	p.node.Drain(open, plan)
 	for _, s := range p.servers {
-		if err := s.listener.Drain(ctx); err != nil {
+		conns := s.listener.Connections()
+		p.cfg.Log.WithFields(logrus.Fields{"address": s.listener.Addr().String(), "new": conns.New, "active": conns.Active}).Info("process: no longer listens")
+		if err := s.listener.Drain(open); err != nil {
 			p.cfg.Log.WithError(err).Warn("process: requests were still running at the end of the grace period")
 		}
 		_ = s.http.Close()
 	}
-	p.node.Leave(ctx)
+	// Requests of callers that left may have come after the node was idle.
+	p.node.AwaitIdle(open)
+	leave, cancel := context.WithDeadline(ctx, plan.LeavesBy())
+	defer cancel()
+	p.node.Leave(leave)
+	p.cfg.Log.WithField("ms", time.Since(plan.BeganAt).Milliseconds()).Info("process: stopped")
 }
 
 // Kill stops the process abruptly, as a crash would.
 func (p *Process) Kill() {
+	p.endWaiting()
 	for _, s := range p.servers {
 		_ = s.http.Close()
 	}
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -102,8 +102,13 @@
 	IsolationTimeout duration.Duration `toml:"bound"`
 	// BalancerLag is how long the load balancer takes to stop using a node that is not ready.
 	BalancerLag duration.Duration `toml:"lag"`
+	// Grace is the time from SIGTERM until the process is killed by what supervises it.
+	Grace duration.Duration `toml:"grace"`
 }
 
+// minGrace leaves time to answer and to hand over, besides the reserve for a busy VM.
+const minGrace = time.Second
+
 // Ledger configures the storage of claims.
 type Ledger struct {
 	Shards         int               `toml:"shards"`
@@ -129,6 +134,7 @@
 			ClockDrift:       2,
 			IsolationTimeout: duration.Duration(4 * time.Second),
 			BalancerLag:      duration.Duration(2 * time.Second),
+			Grace:            duration.Duration(15 * time.Second),
 		},
 		Ledger: Ledger{Shards: 8, CommitInterval: duration.Duration(20 * time.Millisecond), Retention: duration.Duration(24 * time.Hour)},
 		Log:    Log{Level: "info", Format: "json"},
@@ -240,6 +246,8 @@
 	c.Check(t.IsolationTimeout < t.Lease, "timing.bound", "must be below the lease")
 	c.Check(t.ClockDrift >= 0 && t.ClockDrift <= 20, "timing.drift", "must be 0 to 20 percent, not %d", t.ClockDrift)
 	c.Check(t.BalancerLag >= 0, "timing.lag", "must not be below 0")
+	c.Check(t.Grace.Duration() >= minGrace, "timing.grace", "must be at least %s", minGrace)
+	c.Check(2*t.BalancerLag <= t.Grace, "timing.grace", "must be at least twice the lag")
 }
 
 func (l Ledger) check(c *validation.Checker) {
--- a/internal/operator/settings/settings_test.go
+++ b/internal/operator/settings/settings_test.go
@@ -26,6 +26,8 @@
 		{"empty", "", []string{"name: is missing", "datacentre: is missing", "caller.address", "peer.address", "platform.url"}},
 		{"unknown keys", validSettings + "[timing]\nbeet = \"1s\"\n[log]\ncolour = true\n", []string{"timing.beet: is not known", "log.colour: is not known"}},
 		{"bound over lease", validSettings + "[timing]\nbound = \"7s\"\n", []string{"timing.bound: must be below the lease"}},
+		{"grace below twice the lag", validSettings + "[timing]\nlag = \"2s\"\ngrace = \"3s\"\n", []string{"timing.grace: must be at least twice the lag"}},
+		{"no time to stop", validSettings + "[timing]\nlag = \"0s\"\ngrace = \"100ms\"\n", []string{"timing.grace: must be at least 1s"}},
 		{"short token", validSettings + "[operator]\naddress = \"127.0.0.1:1\"\n[[operator.token]]\nwho = \"rosa\"\nvalue = \"short\"\nrole = \"king\"\n",
 			[]string{`operator.token.value: of "rosa" must have at least 16`, `operator.token.role`}},
 		{"half of a key pair", validSettings + "[caller.tls]\ncert = \"x\"\n", []string{"caller.tls: cert and key must be given together"}},
--- a/internal/serving/coordinator/coordinator.go
+++ b/internal/serving/coordinator/coordinator.go
@@ -58,6 +58,7 @@
 	logs         *request.LogStore
 	sequence     atomic.Uint64
 	active       atomic.Int64
+	stop         *stopState
 	mu           sync.Mutex
 	rateBuckets  map[string]budget.RateBucket
 	retryBuckets map[string]*budget.RetryBucket
@@ -79,6 +80,7 @@
 		cfg:             cfg,
 		selector:        NewSelector(),
 		logs:            request.NewLogStore(),
+		stop:            newStopState(),
 		rateBuckets:     map[string]budget.RateBucket{},
 		retryBuckets:    map[string]*budget.RetryBucket{},
 		overloadedUntil: map[queueClass]time.Time{},
@@ -107,9 +109,14 @@
 	}
 	go func() {
 		defer c.active.Add(-1)
-		ctx, cancel := context.WithDeadline(context.Background(), plan.request.Deadline)
+		ctx, end := context.WithCancelCause(context.Background())
+		defer end(nil)
+		ctx, cancel := context.WithDeadline(ctx, plan.request.Deadline)
 		defer cancel()
-		c.finish(r, log, now, c.run(ctx, plan, log))
+		plan.running = c.stop.begin(now, plan, end)
+		o := c.run(ctx, plan, log)
+		c.stop.finish(c.cfg.Now(), plan.running, o)
+		c.finish(r, log, now, o)
 	}()
 	return r.ID, log
 }
@@ -130,6 +137,9 @@
 	totalTime time.Duration
 	// noRetryStage is the index of the stage that may not be retried, -1 if there is none.
 	noRetryStage int
+	// isBounded is set if the request was accepted during a planned stop, which bounds its deadline.
+	isBounded bool
+	running   *runningRequest
 }
 
 func (p plan) usesLedger() bool { return p.noRetryStage >= 0 && p.request.Key != "" }
@@ -155,6 +165,9 @@
 	if r.Deadline.IsZero() || r.Deadline.After(now.Add(pl.Deadline.Duration())) {
 		p.request.Deadline = now.Add(pl.Deadline.Duration())
 	}
+	if rejection := c.stop.admit(now, &p); rejection != nil {
+		return plan{}, rejection
+	}
 	p.totalTime = p.request.Deadline.Sub(now)
 	for i, name := range pl.Stages {
 		s := set.Stages[name]
--- a/internal/serving/coordinator/run.go
+++ b/internal/serving/coordinator/run.go
@@ -36,9 +36,18 @@
 		ExpiresAtMs: p.request.Deadline.Add(claimGrace).UnixMilli(),
 	}
 	res := c.cfg.Fleet.Claim(ctx, row, p.request.Deadline.Sub(now))
+	if isStopped(ctx, p) && res.Status != ledger.Granted && res.Status != ledger.Running {
+		// The claim may still become durable.
+		c.settle(p, stoppedOutcome(), false)
+		return stoppedOutcome()
+	}
 	if res.Status == ledger.Running {
+		c.stop.join(p.running)
 		res = c.cfg.Fleet.Find(ctx, row.Key, p.request.Deadline.Sub(c.cfg.Now()))
 	}
+	if isStopped(ctx, p) && res.Status == ledger.Unavailable {
+		return ledgerOutcome(ledger.Result{Status: ledger.Running})
+	}
 	if res.Status != ledger.Granted {
 		return duplicateOutcome(res)
 	}
@@ -47,6 +56,10 @@
 	return o
 }
 
+func stoppedOutcome() outcome.Outcome {
+	return outcome.NotRun{Reason: outcome.Stopping, Text: stoppingText, RetryAfter: minRetryAfter}
+}
+
 // duplicateOutcome returns the outcome of a request whose idempotency key is claimed already.
 func duplicateOutcome(res ledger.Result) outcome.Outcome {
 	if res.Status == ledger.NotFound {
@@ -65,7 +78,7 @@
 	if err != nil {
 		panic("coordinator: encode outcome: " + err.Error())
 	}
-	c.cfg.Fleet.Settle(context.Background(), p.request.ScopedKey(), p.request.ID, state, body, settleTimeout)
+	c.cfg.Fleet.Settle(context.Background(), p.request.ScopedKey(), p.request.ID, state, body, c.stop.timeLeft(c.cfg.Now(), settleTimeout))
 }
 
 // runStages runs the stages in order; sent reports whether the stage that may not be retried may have reached a
--- a/internal/serving/coordinator/stage.go
+++ b/internal/serving/coordinator/stage.go
@@ -86,6 +86,9 @@
 	var redirect *Candidate
 	lastRejection := rejected{reason: outcome.NoTarget, text: "pool " + pool + " has no target that takes work", retry: minRetryAfter}
 	for {
+		if isStopped(ctx, r.plan) {
+			return r.stopped()
+		}
 		c, ok := r.selectTarget(tried, redirect)
 		if !ok || rejections >= maxRejections {
 			if res, isFinal := r.waitForTarget(ctx, lastRejection); isFinal {
@@ -110,10 +113,14 @@
 			r.reached = true
 			tried[c.Target] = true
 			co.selector.BackOff(co.cfg.Now(), c.Target)
+			if isStopped(ctx, r.plan) {
+				return failed{reason: outcome.Stopping, text: stoppingText}
+			}
 			retries++
 			if retries > maxRetries || ctx.Err() != nil || !bucket.Take() {
 				return res
 			}
+			co.stop.await(co.cfg.Now(), r.plan.running, r.index)
 		default:
 			return res
 		}
@@ -147,14 +154,23 @@
 	if last.reason != outcome.NoTarget || !now.Add(wait).Before(giveUpAt) {
 		return last, true
 	}
+	r.coordinator.stop.await(now, r.plan.running, r.index)
 	select {
 	case <-ctx.Done():
+		if isStopped(ctx, r.plan) {
+			return r.stopped(), true
+		}
 		return last, true
 	case <-time.After(wait):
 		return nil, false
 	}
 }
 
+// stopped returns the result of a stage that a planned stop has ended between two attempts.
+func (r *stageRun) stopped() rejected {
+	return rejected{reason: outcome.Stopping, text: stoppingText, retry: minRetryAfter, reached: r.reached}
+}
+
 // attempt runs the stage once on one owner.
 func (r *stageRun) attempt(ctx context.Context, c Candidate) stageResult {
 	co := r.coordinator
@@ -176,6 +192,7 @@
 	}
 	co.selector.AddAttempt(c.Target)
 	defer co.selector.RemoveAttempt(c.Target)
+	co.stop.send(now, r.plan.running, r.index)
 	var res stageResult
 	err := co.cfg.Fleet.Work(ctx, c.Owner, w, func(ev *peerpb.WorkEvent) error {
 		co.updateLoad(c.Target, ev)
@@ -185,7 +202,7 @@
 	if res != nil {
 		return res
 	}
-	return r.resolveUnanswered(c.Owner, w, now, err)
+	return r.resolveUnanswered(ctx, c.Owner, w, now, err)
 }
 
 // lastEvent returns the number of events that a streamed last stage has delivered already.
@@ -240,26 +257,27 @@
 
 // resolveUnanswered determines the result of an attempt whose owner stopped answering. If the call has reached the owner,
 // the attempt counts as not sent only if the owner itself confirms it.
-func (r *stageRun) resolveUnanswered(owner string, w *peerpb.WorkRequest, began time.Time, err error) stageResult {
+func (r *stageRun) resolveUnanswered(ctx context.Context, owner string, w *peerpb.WorkRequest, began time.Time, err error) stageResult {
 	var notSent *NotSentError
 	if errors.As(err, &notSent) {
 		return rejected{reason: outcome.NoTarget, text: notSent.Error(), retry: minRetryAfter}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-	defer cancel()
-	if r.stage().RetryPolicy == stage.RetryAllowed && r.unansweredReason() == outcome.Deadline {
+	reason := r.unansweredReason(ctx)
+	if r.stage().RetryPolicy == stage.RetryAllowed && reason == outcome.Deadline {
 		// The caller gets its response now; the owner is told in the background.
 		go r.cancelAttempt(owner, w, began)
 		return failed{reason: outcome.Deadline, text: "the deadline passed"}
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), r.coordinator.stop.timeLeft(r.coordinator.cfg.Now(), cancelTimeout))
+	defer cancel()
 	sent, cancelErr := r.coordinator.cfg.Fleet.Cancel(ctx, owner, w, began)
 	switch {
 	case cancelErr == nil && !sent:
-		return rejected{reason: r.unansweredReason(), text: "the attempt was given up before it was sent", retry: minRetryAfter}
+		return rejected{reason: reason, text: "the attempt was given up before it was sent", retry: minRetryAfter}
 	case r.stage().RetryPolicy == stage.RetryNever:
 		return unknown{}
 	default:
-		return failed{reason: r.unansweredReason(), text: "the target's owner did not answer"}
+		return failed{reason: reason, text: "the target's owner did not answer"}
 	}
 }
 
@@ -270,7 +288,10 @@
 }
 
 // unansweredReason returns the reason for an attempt that ended without a response.
-func (r *stageRun) unansweredReason() outcome.Reason {
+func (r *stageRun) unansweredReason(ctx context.Context) outcome.Reason {
+	if isStopped(ctx, r.plan) {
+		return outcome.Stopping
+	}
 	if !r.coordinator.cfg.Now().Before(r.plan.request.Deadline) {
 		return outcome.Deadline
 	}
--- a/internal/serving/shutdown/plan.go
+++ b/internal/serving/shutdown/plan.go
@@ -37,6 +37,12 @@
 	}
 }
 
+// ClosesAt returns when connections that are still open are closed: a little after the last responses have ended.
+func (p Plan) ClosesAt() time.Time { return p.EndsAt.Add(p.KilledAt.Sub(p.EndsAt) / 4) }
+
+// LeavesBy returns when the process has to be done with what follows the last connection.
+func (p Plan) LeavesBy() time.Time { return p.KilledAt.Add(p.EndsAt.Sub(p.KilledAt) / 4) }
+
 // WithLost returns the plan after the VM was suspended for a time that its steady clock does not count.
 func (p Plan) WithLost(lost time.Duration) Plan {
 	p.LagEndsAt, p.AnswerBy = p.LagEndsAt.Add(-lost), p.AnswerBy.Add(-lost)
--- a/internal/wire/callerapi/server.go
+++ b/internal/wire/callerapi/server.go
@@ -43,8 +43,10 @@
 	Node *node.Node
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
-	Now          func() time.Time
-	Log          *logrus.Logger
+	// Closing ends when callers that wait for other nodes have to be answered, at the end of a planned stop.
+	Closing context.Context
+	Now     func() time.Time
+	Log     *logrus.Logger
 }
 
 // server serves the callers of one node.
@@ -167,7 +169,9 @@
 	events := newEventWriter(w)
 	defer events.close()
 	events.send("accepted", "", Response{ID: id})
-	record, err := s.Node.FollowRequest(r.Context(), id, after, func(e request.Event) error {
+	ctx, cancel := s.untilClosing(r.Context())
+	defer cancel()
+	record, err := s.Node.FollowRequest(ctx, id, after, func(e request.Event) error {
 		return events.sendPart(e)
 	})
 	if errors.Is(err, node.ErrUnknownRequest) {
@@ -180,6 +184,16 @@
 	events.send("outcome", "", Response{ID: id, Record: record})
 }
 
+// untilClosing returns a context that ends with ctx, and at the end of a planned stop.
+func (s *server) untilClosing(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(s.Closing, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // cut ends a stream without an outcome, which its caller may resume.
 func (s *server) cut(r *http.Request, id string, events *eventWriter, cause error) {
 	if r.Context().Err() != nil {
@@ -232,6 +246,8 @@
 	// Reading a finished request returns at once; only a running one takes up to the timeout.
 	ctx, cancel := context.WithTimeout(r.Context(), d+lookupTimeout)
 	defer cancel()
+	ctx, end := s.untilClosing(ctx)
+	defer end()
 	record, err := s.Node.FollowRequest(ctx, id, math.MaxUint64, func(request.Event) error { return nil })
 	switch {
 	case errors.Is(err, node.ErrUnknownRequest):
@@ -253,8 +269,10 @@
 		writeInvalid(w, http.StatusBadRequest, violations)
 		return
 	}
+	ctx, cancel := s.untilClosing(r.Context())
+	defer cancel()
 	vars := pathvar.Vars(r)
-	writeRecord(w, "", outcome.ToRecord(s.Node.Coordinator().Find(r.Context(), vars["team"], vars["key"], d)))
+	writeRecord(w, "", outcome.ToRecord(s.Node.Coordinator().Find(ctx, vars["team"], vars["key"], d)))
 }
 
 func (s *server) checkHealth(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
