A second SIGTERM during the product's planned stop cuts nothing

Cause: serve ended a stop at any second signal. Supervisors send SIGTERM several times (to the process and its group, or again after a while), so callers' running requests were cut.

Change: only SIGINT ends a stop at once.

Conclusion: an operator at a terminal can still interrupt a stop.

--- a/cmd/lacewingdrift/serve.go
+++ b/cmd/lacewingdrift/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -19,8 +20,8 @@
 
 The settings file sets the node's name, its addresses and the address of the
 platform; everything else comes from the platform. SIGTERM is a planned stop: the
-node becomes not ready, hands over what it owns, finishes running work and exits
-with 0. A second signal ends it at once.
+node becomes not ready, hands over what it owns, finishes what ends within
+timing.grace and exits with 0. SIGINT during a stop ends it at once.
 
 With --platform the node runs on the users' platform: the environment variable
 LACEWINGDRIFT_NODE_FILE names the settings file that the platform provides, and
@@ -71,8 +72,12 @@
 	<-signals
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
-		<-signals
-		cancel()
+		// Supervisors may send SIGTERM more than once; only an operator interrupts a stop.
+		for s := range signals {
+			if s == syscall.SIGINT {
+				cancel()
+			}
+		}
 	}()
 	p.Stop(ctx)
 	return nil
