A look-up of a key that a planned stop ends says unknown

Cause: a look-up that ends with its context finds the ledger unavailable, which was told as notrun; the request with the key may run. Look-ups have ended with the stop since the product's planned stop has an end, so callers could have seen it.

Change: unknown, if the look-up was ended.

Measured: TestLookUpThatIsEndedDoesNotSayNotRun failed before ("got notrun, want unknown") and passes after.

--- a/internal/serving/coordinator/coordinator.go
+++ b/internal/serving/coordinator/coordinator.go
@@ -256,7 +256,11 @@
 
 // Find returns the outcome of the request with a team and idempotency key.
 func (c *Coordinator) Find(ctx context.Context, team, key string, wait time.Duration) outcome.Outcome {
-	return ledgerOutcome(c.cfg.Fleet.Find(ctx, request.Scope(team, key), wait))
+	res := c.cfg.Fleet.Find(ctx, request.Scope(team, key), wait)
+	if res.Status == ledger.Unavailable && ctx.Err() != nil {
+		return outcome.Unknown{Reason: outcome.Lost, Text: "the look-up was ended; the request with this key may still run"}
+	}
+	return ledgerOutcome(res)
 }
 
 // ledgerOutcome converts a result of the ledger to an outcome.
--- a/internal/serving/coordinator/stop_test.go
+++ b/internal/serving/coordinator/stop_test.go
@@ -129,3 +129,13 @@
 		})
 	}
 }
+
+// TestLookUpThatIsEndedDoesNotSayNotRun covers a look-up of a key that a planned stop ends while the request with the key may run.
+func TestLookUpThatIsEndedDoesNotSayNotRun(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	c := New(Config{Node: "n", Now: time.Now, Fleet: &slowFleet{}})
+	if got := c.Find(ctx, "t", "k", time.Minute).Kind(); got != outcome.KindUnknown {
+		t.Errorf("got %s, want %s", got, outcome.KindUnknown)
+	}
+}
