--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -146,7 +146,7 @@
 	return tc
 }
 
-// newService returns a client that follows no redirects: an attempt goes to the target that was chosen for it, and nowhere else.
+// newService returns a client that follows no redirects: an attempt goes to its own target, and nowhere else.
 func newService(t *http.Transport) httpc.Service {
 	return httpc.NewServiceWithClient(clientName, &http.Client{
 		Transport:     t,
--- a/internal/wire/gateway/limit.go
+++ b/internal/wire/gateway/limit.go
@@ -156,7 +156,7 @@
 	return r, hasLeft
 }
 
-// isUsable reports whether a target, as it was chosen, may still be sent to.
+// isUsable reports whether the run of a target that has been picked may still be sent to.
 func (g *Gateway) isUsable(t registry.Target) bool {
 	usable := slices.ContainsFunc(g.cfg.Registry().Usable(t.Service), func(x registry.Target) bool { return x.Run() == t.Run() })
 	return usable && !g.cfg.Notices.Board().Leaving(t.Run())
