Ask nodes that count as gone for their ledger rows after a restore

Cause: whoever opens a shard first in an era asked the live nodes only. A node that is slow for longer than its lease counts as gone while its process still knows the rows that the older copy lacks, so a key that it had granted was granted again.

--- a/internal/bench/testbed/restore_test.go
+++ b/internal/bench/testbed/restore_test.go
@@ -10,7 +10,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/member"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/owner"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/rendezvous"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/publication"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
@@ -126,6 +128,37 @@
 	checkKeyRanOnce(t, b)
 }
 
+// TestNodeCountedAsGoneHandsOnRows brings the platform back from a copy that lacks a key, and lets the fleet count the holder of its
+// shard as gone, as it does when a slow node's lease ends. The next holder must learn the key's outcome from it.
+func TestNodeCountedAsGoneHandsOnRows(t *testing.T) {
+	b := start(t, Config{})
+	time.Sleep(witnessTime)
+	copied := b.Store.Copy()
+	first, _, err := post(b.CallerAddresses()[0], "renewal", renewalRequest("order", "key"))
+	if err != nil || first.Outcome != outcome.KindAnswered {
+		t.Fatalf("got %s %s (%v), want an answer", first.Outcome, first.Text, err)
+	}
+	holder := b.Node(rendezvous.Rank(fmt.Sprint("ledger/", shardOf("key")), b.NodeNames())[0])
+	b.Store.Restore(copied)
+	gone := holder.Process.Node().Self().WithState(member.Gone, time.Now())
+	row, err := b.Store.Get(context.Background(), member.Kind, holder.Name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.Store.Put(context.Background(), member.Kind, holder.Name, row.Version, gone); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "every node counts the holder as gone", 10*time.Second, func() bool {
+		for _, n := range b.RunningNodes() {
+			if m, _ := n.Process.Node().Members().Get(holder.Name); m.State != member.Gone {
+				return false
+			}
+		}
+		return true
+	})
+	checkKeyRanOnce(t, b)
+}
+
 // shardOf returns the ledger shard of a key of renewalRequest.
 func shardOf(key string) uint64 {
 	scoped := request.Request{Team: "members", Key: key}.ScopedKey()
--- a/internal/fleet/node/carries.go
+++ b/internal/fleet/node/carries.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -12,6 +13,10 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/peer/peerpb"
 )
 
+// goneCarriesTimeout bounds the wait for the rows of a node that the fleet counts as gone: it may answer, since a lease also ends while
+// its process is slow, but most such nodes never do, and ledgerTimeout is the time for opening a shard.
+const goneCarriesTimeout = ledgerTimeout / 4
+
 // suspend ends the holders of all shards that were opened in an earlier era, and keeps what they know.
 func (l *ledgers) suspend(era uint64) {
 	l.mu.Lock()
@@ -34,14 +39,15 @@
 	l.carries[shard] = l.carries[shard].Merge(l.node.cfg.Now(), h.Suspend())
 }
 
-// recoverRows asks every node that may have held a shard for what it knows, and returns an error unless all answer.
+// recoverRows asks every node that may have held a shard for what it knows, and returns an error unless all that the fleet does not count
+// as gone answer.
 func (l *ledgers) recoverRows(ctx context.Context, shard int, era uint64) ([]ledger.Carry, error) {
 	n := l.node
 	n.raiseEra(era)
 	l.mu.Lock()
 	carries := []ledger.Carry{l.carries[shard]}
 	l.mu.Unlock()
-	former := n.formerHolders()
+	former := n.formerHolders(n.cfg.Now())
 	replies, errs := make([]ledger.Carry, len(former)), make([]error, len(former))
 	var asks sync.WaitGroup
 	for i, m := range former {
@@ -54,6 +60,8 @@
 		case errs[i] == nil:
 			carries = append(carries, replies[i])
 			rows += len(replies[i].Rows)
+		case m.State == member.Gone:
+			n.log.With("shard", shard).With("node", m.Name).Info("a node that is gone does not hand on its rows: " + errs[i].Error())
 		default:
 			return nil, merry.Prependf(errs[i], "rows of %s", m.Name)
 		}
@@ -65,13 +73,15 @@
 }
 
 // formerHolders lists the other nodes whose processes may know rows of the ledger.
-func (n *Node) formerHolders() []member.Member {
+func (n *Node) formerHolders(now time.Time) []member.Member {
 	var list []member.Member
 	for _, m := range n.table.Load().Rows() {
 		switch {
 		case m.Name == n.Name():
 		case m.State == member.Live, m.State == member.Stopping:
 			list = append(list, m)
+		case m.State == member.Gone && now.Sub(time.UnixMilli(m.ChangedAt)) < ledger.CarryWindow:
+			list = append(list, m)
 		}
 	}
 	return list
@@ -79,6 +89,11 @@
 
 // askCarry asks a node for what its former holders knew of a shard.
 func (n *Node) askCarry(ctx context.Context, m member.Member, shard int, era uint64) (ledger.Carry, error) {
+	if m.State == member.Gone {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, goneCarriesTimeout)
+		defer cancel()
+	}
 	client, err := n.conns.Client(m.PeerAddress)
 	if err != nil {
 		return ledger.Carry{}, err
