Repeat at the end of a test run what failed

Cause: a package that fails prints the logs of all its nodes, so the end of a long output, which is what is kept of a failed run, may not name the failed test.

Change: test.sh lists the failed tests, their messages and data races once more at the end. What runs and what counts as failed is unchanged.

Conclusion: a failed run can be traced by its last hundred lines.

--- a/test.sh
+++ b/test.sh
@@ -28,4 +28,11 @@
 # The first word of each line of KNOWN-RED.txt that is not a comment is the name of a test.
 skip=$(grep -oE '^Test[A-Za-z0-9_/]+' KNOWN-RED.txt 2>/dev/null | sed 's/.*/^&$/' | paste -sd'|' - || true)
 # Two packages at a time, since several of them run whole fleets in real time.
-go test -race -p 2 -timeout 20m ${skip:+-skip "$skip"} ./...
+output=$(mktemp)
+trap 'rm -f "$output"' EXIT
+if ! go test -race -p 2 -timeout 20m ${skip:+-skip "$skip"} ./... 2>&1 | tee "$output"; then
+	# A failed package prints the logs of all its nodes, so what failed is repeated at the end.
+	echo "failed:"
+	grep -E -- '^ *--- FAIL|^ +[A-Za-z0-9_]+_test\.go:[0-9]+:|^panic: |WARNING: DATA RACE|^FAIL' "$output" | cut -c 1-400 | tail -n 100
+	exit 1
+fi
