Free inputs early only where no other dispatcher can be calling

Cause: a dispatcher took it that a call starts at once, and had the inputs freed 40 ms into it, unless the target had told it of another dispatcher's calls within the last second. One that had just taken over a shard, or had had nothing to do, had been told nothing; one that had handed over a shard ran its last groups beside its successor's. Such calls wait for each other, and find their inputs gone.

Change: a call starts at once if calls of the last second have shown the target without others, by its report and by the time that they took, and if nodes pass the shard's groups to this dispatcher and it does not stop.

Conclusion: the risk is gone where the dispatcher can know of it; two dispatchers that both believe in their shard are told by the targets.

--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -337,9 +337,7 @@
 	c.state.failures = 0
 	c.state.slowRatio = slowRatio(now.Sub(c.Started)-networkMargin, profile.CallDuration(len(c.Pieces)))
 	c.state.measuredAt = now
-	if r.Running+r.Waiting > 0 {
-		c.state.sharedAt = now
-	}
+	c.state.recordSharing(now, c.state.slowRatio, r)
 	var added int64
 	for i, p := range c.Pieces {
 		switch r.Results[i].Reason {
--- a/internal/serving/batch/scheduler_test.go
+++ b/internal/serving/batch/scheduler_test.go
@@ -210,3 +210,48 @@
 		})
 	}
 }
+
+// TestCallStartsAtOnce covers what earlier calls show of other dispatchers that use the target.
+func TestCallStartsAtOnce(t *testing.T) {
+	type earlierCall struct {
+		took time.Duration
+		// others is the number of calls of other dispatchers that the target reports.
+		others int
+		// idle is the time until the next call.
+		idle time.Duration
+	}
+	expected := testProfile.CallDuration(1)
+	alone := earlierCall{took: expected}
+	tests := []struct {
+		name    string
+		earlier []earlierCall
+		want    bool
+	}{
+		{name: "nothing is known after taking over", want: false},
+		{name: "alone", earlier: []earlierCall{alone}, want: true},
+		{name: "another call is reported", earlier: []earlierCall{alone, {took: expected, others: 1}}, want: false},
+		{name: "alone again, too recently", earlier: []earlierCall{{took: expected, others: 1}, alone}, want: false},
+		{name: "alone again for long", earlier: []earlierCall{{took: expected, others: 1}, alone, alone, alone, alone, alone}, want: true},
+		{name: "waited for another call that then ended", earlier: []earlierCall{alone, {took: 2 * expected}}, want: false},
+		{name: "idle for so long that another dispatcher may have come", earlier: []earlierCall{{took: expected, idle: sharedPeriod}}, want: false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newTestScheduler("t1")
+			now := start
+			for _, e := range tt.earlier {
+				s.addPieces(1, 1)
+				c := startCall(t, s, now)
+				now = now.Add(e.took)
+				r := newReply(c, 1)
+				r.Running = e.others
+				c.Complete(now, testProfile, r)
+				now = now.Add(e.idle)
+			}
+			s.addPieces(1, 1)
+			if got := startCall(t, s, now).StartsAtOnce; got != tt.want {
+				t.Errorf("got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/serving/batch/target_state.go
+++ b/internal/serving/batch/target_state.go
@@ -68,8 +68,10 @@
 	probed   bool
 	// noSpaceAt is the time of the last call that found no space for a result.
 	noSpaceAt time.Time
-	// sharedAt is when the target last had a call of another dispatcher.
+	// sharedAt is when the target last had, or may have had, a call of another dispatcher; aloneAt is when a call last showed that it
+	// had none.
 	sharedAt time.Time
+	aloneAt  time.Time
 }
 
 // Limit is the limit of a target; the zero value is none.
@@ -169,8 +171,21 @@
 	return s.probed || s.limit.IsSet() || now.Sub(s.added) >= probeTimeout
 }
 
-// startsAtOnce reports whether a call is expected to start at once, without waiting for a call of another dispatcher.
-func (s *targetState) startsAtOnce(now time.Time) bool { return now.Sub(s.sharedAt) >= sharedPeriod }
+// startsAtOnce reports whether a call is expected to start at once, without waiting for a call of another dispatcher. That is known from
+// calls of the last sharedPeriod only: a dispatcher that has just taken over, or has had nothing to do, may share its targets with others.
+func (s *targetState) startsAtOnce(now time.Time) bool {
+	return now.Sub(s.aloneAt) < sharedPeriod && now.Sub(s.sharedAt) >= sharedPeriod
+}
+
+// recordSharing records what a call shows of calls of other dispatchers: the target's report of them, and the time that the call took, since
+// a call that has waited for another one may end when no other is left.
+func (s *targetState) recordSharing(now time.Time, ratio float64, r Reply) {
+	if r.Running+r.Waiting > 0 || ratio >= slowThreshold {
+		s.sharedAt = now
+		return
+	}
+	s.aloneAt = now
+}
 
 // usedBytes drops expired results and returns the bytes that tracked and untracked results hold at the target.
 func (s *targetState) usedBytes(now time.Time) int64 {
--- a/internal/wire/dispatch/client.go
+++ b/internal/wire/dispatch/client.go
@@ -93,13 +93,21 @@
 
 // dispatcherNode returns the name of the node whose dispatcher calls the targets of a shard.
 func (c *Client) dispatcherNode(now time.Time, service, shard string) string {
-	r := c.cfg.Registry()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	name := nodeOfShard(c.cfg.Registry(), service, shard, func(n registry.Node) bool { return !c.backoffs[n.Name].Active(now, n.StartedAt) })
+	if name == "" {
+		return c.cfg.Self
+	}
+	return name
+}
+
+// nodeOfShard returns the name of the node among the usable ones whose dispatcher calls the targets of a shard, "" if there is none.
+func nodeOfShard(r *registry.Registry, service, shard string, usable func(registry.Node) bool) string {
 	var names, inShard []string
 	for _, name := range r.NodeNames() {
 		node, _ := r.Node(name)
-		if c.backoffs[name].Active(now, node.StartedAt) {
+		if !usable(node) {
 			continue
 		}
 		names = append(names, name)
@@ -111,7 +119,7 @@
 		names = inShard
 	}
 	if len(names) == 0 {
-		return c.cfg.Self
+		return ""
 	}
 	return rendezvous.First(service+"@"+shard, names)
 }
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -357,6 +357,7 @@
 		if !ok {
 			return
 		}
+		c.StartsAtOnce = c.StartsAtOnce && d.hasShard(s)
 		for _, p := range c.Pieces {
 			g := d.groups[p.GroupID]
 			if g == nil {
@@ -377,6 +378,16 @@
 	}
 }
 
+// hasShard reports whether this is the dispatcher to which nodes pass the groups of a shard. One that has handed over the shard runs its last
+// groups beside those of its successor, and its calls may wait for the other's.
+func (d *Dispatcher) hasShard(s *shardScheduler) bool {
+	if d.draining.Load() {
+		return false
+	}
+	name := nodeOfShard(d.cfg.Registry(), s.service, s.shard, func(registry.Node) bool { return true })
+	return name == "" || name == d.cfg.Self
+}
+
 // logCallStarted logs a call with the requests whose pieces are in it.
 func (d *Dispatcher) logCallStarted(s *shardScheduler, c *batch.Call, profile route.BatchProfile) {
 	d.cfg.Meter.SetQueuedPieces(s.service, s.Len())
