Keep inputs until their stage has ended where there is room for them

Cause: inputs were freed 40 ms into the call that reads them, so a piece that the target failed was sent again in vain: its inputs were gone, and all stages of its request ran once more or the request was rejected. And inputs that were not freed early stayed until the request had ended.

Change: the dispatcher that made results says whether their targets have space for two more calls like the last one beside them; then their readers keep them until they have ended. Others are freed as before. All inputs are freed when the last stage that reads them has ended. A node of an earlier version ignores the message.

--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -242,6 +242,7 @@
 		st.grantedUntil = time.Time{}
 		st.freeAt = now.Add(expected)
 		st.heldBytes += bytes
+		st.lastCallBytes = bytes
 		return c, true
 	}
 	return nil, false
@@ -357,6 +358,16 @@
 	return full
 }
 
+// HasRoom reports whether the targets at addresses have room for results that stay until their readers have ended.
+func (s *Scheduler) HasRoom(now time.Time, profile route.BatchProfile, addresses map[string]bool) bool {
+	for _, st := range s.targets {
+		if addresses[st.target.Address] && !st.hasRoom(now, profile) {
+			return false
+		}
+	}
+	return true
+}
+
 // ReleaseResults records that the target at an address no longer holds the results with these handles.
 func (s *Scheduler) ReleaseResults(address string, handles []string) {
 	for _, st := range s.targets {
--- a/internal/serving/batch/scheduler_test.go
+++ b/internal/serving/batch/scheduler_test.go
@@ -255,3 +255,36 @@
 		})
 	}
 }
+
+// TestHasRoomWhileTwoMoreCallsFit covers results that stay until their readers have ended: they must not keep the target from further calls.
+func TestHasRoomWhileTwoMoreCallsFit(t *testing.T) {
+	tests := []struct {
+		name string
+		// held are the bytes of earlier results at the target, call those of the last call.
+		held, call int64
+		want       bool
+	}{
+		{name: "empty but for the last call", call: 300, want: true},
+		{name: "two more calls just fit", held: 100, call: 300, want: true},
+		{name: "one more call fits", held: 200, call: 300, want: false},
+		{name: "a large call", call: 400, want: false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newTestScheduler("t1")
+			now := start
+			for _, bytes := range []int64{tt.held, tt.call} {
+				s.addPieces(1, bytes)
+				c := startCall(t, s, now)
+				now = now.Add(testProfile.CallDuration(1))
+				c.Complete(now, testProfile, newReply(c, 1))
+			}
+			if got := s.HasRoom(now, testProfile, map[string]bool{"t1:1": true}); got != tt.want {
+				t.Errorf("got %t, want %t", got, tt.want)
+			}
+			if !s.HasRoom(now, testProfile, map[string]bool{"t2:1": true}) {
+				t.Error("got no room at a target that is gone, want true")
+			}
+		})
+	}
+}
--- a/internal/serving/batch/target_state.go
+++ b/internal/serving/batch/target_state.go
@@ -56,6 +56,8 @@
 	measuredAt time.Time
 	held       map[string]heldResult
 	heldBytes  int64
+	// lastCallBytes is the space that was reserved for the results of the last call.
+	lastCallBytes int64
 	// untracked is the space that untracked results held at untrackedAt; it decays to 0 over untrackedDecay as they are
 	// released or expire.
 	untracked      int64
@@ -198,6 +200,12 @@
 	return s.heldBytes + s.untrackedBytes(now)
 }
 
+// hasRoom reports whether the results at the target leave space for those of two more calls like the last one, so that none of them has to go
+// before its readers have ended.
+func (s *targetState) hasRoom(now time.Time, profile route.BatchProfile) bool {
+	return s.usedBytes(now)+2*s.lastCallBytes <= profile.ResultSpace
+}
+
 // preferredTo reports whether the target takes the next call rather than b.
 func (s *targetState) preferredTo(b *targetState, now time.Time) bool {
 	if slowA, slowB := s.slowness(now) >= slowThreshold, b.slowness(now) >= slowThreshold; slowA != slowB {
--- a/internal/wire/dispatch/client.go
+++ b/internal/wire/dispatch/client.go
@@ -62,6 +62,8 @@
 type GroupResults struct {
 	Node    string
 	Results []batch.Result
+	// HasRoom is set if the results need not be freed before their readers have ended.
+	HasRoom bool
 }
 
 // Shards returns the shards of a service that may run a request's pieces, best first. A small service has one shard.
@@ -145,13 +147,13 @@
 			c.recordFailure(sentAt, node, g, errDeclined)
 			continue
 		}
-		results, err := c.produceRemote(ctx, sentAt, node, g, onInputsFetched)
+		out, err := c.produceRemote(ctx, sentAt, node, g, onInputsFetched)
 		var r *batch.RejectedError
 		if err == nil || errors.As(err, &r) {
 			c.recordSuccess(node.Name)
 		}
 		if err == nil || errors.As(err, &r) || ctx.Err() != nil {
-			return GroupResults{Node: name, Results: results}, err
+			return out, err
 		}
 		c.recordFailure(sentAt, node, g, err)
 		if !isImmediateRefusal(err) {
@@ -159,7 +161,7 @@
 		}
 	}
 	results, err := c.cfg.Local.Produce(ctx, g, Callbacks{OnQueued: func(time.Duration) {}, OnInputsFetched: onInputsFetched})
-	return GroupResults{Node: c.cfg.Self, Results: results}, err
+	return GroupResults{Node: c.cfg.Self, Results: results, HasRoom: err == nil && c.cfg.Local.HasRoom(g, results)}, err
 }
 
 // recordSuccess clears the failures of a node that responded.
@@ -204,10 +206,11 @@
 )
 
 // produceRemote runs a group at another node.
-func (c *Client) produceRemote(ctx context.Context, now time.Time, node registry.Node, g batch.Group, onInputsFetched func()) ([]batch.Result, error) {
+func (c *Client) produceRemote(ctx context.Context, now time.Time, node registry.Node, g batch.Group, onInputsFetched func()) (GroupResults, error) {
+	out := GroupResults{Node: node.Name}
 	client, err := c.deskClient(node.Address)
 	if err != nil {
-		return nil, err
+		return out, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -218,15 +221,15 @@
 	m.Leaving, m.Limits = toRuns(board.News(now)), permit.ToLimits(now, board.LimitNews(now))
 	stream, err := client.Produce(ctx, m)
 	if err != nil {
-		return nil, err
+		return out, err
 	}
 	for {
 		p, err := stream.Recv()
 		if err != nil {
 			if cause := context.Cause(ctx); cause != nil {
-				return nil, cause
+				return out, cause
 			}
-			return nil, err
+			return out, err
 		}
 		timeout.Reset(heartbeatTimeout)
 		heardAt := c.cfg.Now()
@@ -236,15 +239,17 @@
 		case stateInputsFetched:
 			onInputsFetched()
 		case stateDeclined:
-			return nil, errDeclined
+			return out, errDeclined
 		case stateRefused:
-			return nil, &batch.RejectedError{Wait: time.Duration(p.WaitUs) * time.Microsecond, Reason: p.Results[0].Reason}
+			return out, &batch.RejectedError{Wait: time.Duration(p.WaitUs) * time.Microsecond, Reason: p.Results[0].Reason}
+		case stateRoomy:
+			out.HasRoom = true
 		case stateDone:
-			results := make([]batch.Result, 0, len(p.Results))
+			out.Results = make([]batch.Result, 0, len(p.Results))
 			for _, r := range p.Results {
-				results = append(results, batch.Result{Handle: r.Handle, Datacentre: r.Datacentre, Reason: batch.Reason(r.Reason)})
+				out.Results = append(out.Results, batch.Result{Handle: r.Handle, Datacentre: r.Datacentre, Reason: batch.Reason(r.Reason)})
 			}
-			return results, nil
+			return out, nil
 		}
 	}
 }
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -212,6 +212,20 @@
 	OnHeartbeat func()
 }
 
+// HasRoom reports whether the targets that hold a group's results have room for them until their readers have ended.
+func (d *Dispatcher) HasRoom(g batch.Group, results []batch.Result) bool {
+	addresses := map[string]bool{}
+	for _, r := range results {
+		if r.Handle != "" {
+			addresses[batch.HandleAddress(r.Handle)] = true
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	profile, ok := d.batchProfile(g.Service)
+	return ok && d.scheduler(g.Service, g.Datacentre).HasRoom(d.cfg.Now(), profile, addresses)
+}
+
 // Produce queues a group and waits for its results.
 func (d *Dispatcher) Produce(ctx context.Context, g batch.Group, cb Callbacks) ([]batch.Result, error) {
 	cleared, err := d.clear(ctx, g)
--- a/internal/wire/dispatch/server.go
+++ b/internal/wire/dispatch/server.go
@@ -23,7 +23,9 @@
 	stateRefused       progressState = "refused"
 	// A dispatcher that declines accepts no groups at all for now; another one may.
 	stateDeclined progressState = "declined"
-	stateDone     progressState = "done"
+	// stateRoomy precedes stateDone if the results need not be freed before their readers have ended.
+	stateRoomy progressState = "roomy"
+	stateDone  progressState = "done"
 )
 
 // server serves the dispatcher to other nodes.
@@ -61,6 +63,9 @@
 	if err != nil {
 		return err
 	}
+	if s.dispatcher.HasRoom(g, results) {
+		_ = out.Send(&deskpb.Progress{State: string(stateRoomy)})
+	}
 	p := s.progressWithNews(stateDone)
 	for _, x := range results {
 		p.Results = append(p.Results, &deskpb.Result{Handle: x.Handle, Reason: string(x.Reason), Datacentre: x.Datacentre})
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -27,9 +27,13 @@
 	mu      sync.Mutex
 	results [][]batch.Result
 	held    []heldResults
-	// unfetched counts for each stage the stages that have not fetched its results yet.
-	unfetched []int
-	err       error
+	// unread counts for each stage the stages that have not read its results yet; read has for each stage those of its inputs that
+	// it has read.
+	unread []int
+	read   [][]bool
+	// hasRoom has for each stage whether its results need not be freed before their readers have ended.
+	hasRoom []bool
+	err     error
 	// expireAt is when the results of each stage expire, zero if they do not.
 	expireAt []time.Time
 	// nodes has for each stage the node whose dispatcher ran it, tookMS how long that took.
@@ -41,23 +45,29 @@
 	n := len(graph.Stages)
 	sr := &stageRun{
 		graph: graph, remainingTimes: graph.RemainingTimes(), likelyDatacentre: likelyDatacentre, ended: make([]chan struct{}, n), results: make([][]batch.Result, n),
-		held: make([]heldResults, n), unfetched: route.DependentCounts(graph.Stages), nodes: make([]string, n), tookMS: make([]int64, n),
+		held: make([]heldResults, n), unread: route.DependentCounts(graph.Stages), read: make([][]bool, n), hasRoom: make([]bool, n), nodes: make([]string, n), tookMS: make([]int64, n),
 		expireAt: make([]time.Time, n),
 	}
 	for i := range sr.ended {
 		sr.ended[i] = make(chan struct{})
+		sr.read[i] = make([]bool, len(graph.Stages[i].DependsOn))
 	}
 	return sr
 }
 
-// markFetched records that stage i has fetched its inputs, and returns the results that no stage needs any more.
-func (sr *stageRun) markFetched(i int) []heldResults {
+// markRead records that stage i has read its inputs, and returns the results that no stage needs any more. Until the stage has ended, a piece
+// may need its inputs again, so those that their targets have room for stay until then.
+func (sr *stageRun) markRead(i int, hasEnded bool) []heldResults {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
 	var list []heldResults
-	for _, dep := range sr.graph.Stages[i].DependsOn {
-		sr.unfetched[dep]--
-		if sr.unfetched[dep] == 0 {
+	for n, dep := range sr.graph.Stages[i].DependsOn {
+		if sr.read[i][n] || (!hasEnded && sr.hasRoom[dep]) {
+			continue
+		}
+		sr.read[i][n] = true
+		sr.unread[dep]--
+		if sr.unread[dep] == 0 {
 			list = append(list, sr.held[dep])
 			sr.held[dep] = heldResults{}
 		}
@@ -164,13 +174,14 @@
 	group.PreferredDatacentre, group.TransferBytes = sr.graph.PreferredDatacentre(i, sr.resultCounts(), sr.likelyDatacentre)
 	group.PreferUntil = sr.graph.PreferUntil(i, group.StartByObjective)
 	started := g.cfg.Now()
-	out, err := g.produce(ctx, group, func() { g.freeResults(sr.markFetched(i)) })
+	out, err := g.produce(ctx, group, func() { g.freeResults(sr.markRead(i, false)) })
 	sr.mu.Lock()
 	sr.nodes[i], sr.tookMS[i] = out.Node, g.cfg.Now().Sub(started).Milliseconds()
 	sr.mu.Unlock()
 	if err != nil {
 		return err
 	}
+	g.freeResults(sr.markRead(i, true))
 	var stageErr error
 	var handles []string
 	for _, x := range out.Results {
@@ -183,6 +194,7 @@
 	sr.mu.Lock()
 	sr.results[i] = out.Results
 	sr.held[i] = heldResults{node: out.Node, handles: handles}
+	sr.hasRoom[i] = out.HasRoom
 	if made, ok := rs.table.Service(s.Service); ok && made.Batch.ResultTTL > 0 {
 		ttl := made.Batch.ResultTTL
 		sr.expireAt[i] = g.cfg.Now().Add(ttl - min(inputReadTime, ttl/4))
