Let a slow stage target take the calls granted to it while pieces are on time

Cause: a call that is late by 50 ms or more makes its stage target slow, and a slow target only gets what the healthy ones cannot take in the extra time. The slowness halves every 3 s, so a call of 120 ms where 20 ms are expected keeps the target out for 9 s. The dispatcher went on to claim grants for it, which ran out unused after 500 ms each. Change: the scheduler avoids a slow target that names a limit only while its slowness would make a waiting piece miss its objective. Healthy targets without a grant no longer count as such that take the pieces instead. No grant is asked for where no call would start. A process that stands still for longer than 500 ms still loses the grant that it holds.

--- a/internal/serving/batch/queue.go
+++ b/internal/serving/batch/queue.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -44,6 +45,18 @@
 	return priority, startBy
 }
 
+// isLateIfDelayed reports whether some piece misses its latency objective, or its deadline if it is late already, if its result
+// comes later by extra than that of a call that starts at now.
+func (q *Queue) isLateIfDelayed(now time.Time, extra time.Duration) bool {
+	return slices.ContainsFunc(q.pieces, func(p Piece) bool {
+		startBy := p.StartByObjective
+		if now.After(startBy) {
+			startBy = p.StartByDeadline
+		}
+		return now.Add(extra).After(startBy)
+	})
+}
+
 // Expire removes and returns the pieces that cannot be done in time even if their call started at now.
 func (q *Queue) Expire(now time.Time) []Piece {
 	var expired []Piece
--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -99,7 +99,8 @@
 
 // TargetsToClaim returns the limited targets for which a grant is to be asked for now: pieces wait that no other target has
 // taken, or others are likely to come while the grant lasts. Each of them counts as asked until RecordGrant or RecordNoGrant.
-func (s *Scheduler) TargetsToClaim(now time.Time) []registry.Target {
+// None is asked for where no call would start.
+func (s *Scheduler) TargetsToClaim(now time.Time, profile route.BatchProfile) []registry.Target {
 	if s.waiting.Len() == 0 && now.Sub(s.lastCall) >= activePeriod {
 		return nil
 	}
@@ -108,6 +109,9 @@
 		if !st.limit.IsSet() || st.busy || st.isAsked || st.hasGrant(now) || now.Before(st.askAt) || st.unavailable(now) {
 			continue
 		}
+		if s.avoids(now, profile, st) && !s.hasExcess(now, profile, st) {
+			continue
+		}
 		st.isAsked = true
 		list = append(list, st.target)
 	}
@@ -262,37 +266,51 @@
 }
 
 // nextTarget chooses the target of the next call, nil if none should start one.
-//
-// A target that has become slow gets a call only if more pieces wait than the healthy targets can take in the extra time
-// that the slow one needs.
 func (s *Scheduler) nextTarget(now time.Time, profile route.BatchProfile) *targetState {
 	var best *targetState
-	healthy := 0
-	for _, st := range s.targets {
-		if st.slowness(now) < slowThreshold && !st.unavailable(now) {
-			healthy++
-		}
-	}
+	var bestAvoided bool
 	for _, st := range s.targets {
 		if st.busy || !st.ready(now) || !st.hasGrant(now) || s.skipped[st.target.ID] || st.unavailable(now) || profile.ResultSpace-st.usedBytes(now) <= 0 {
 			continue
 		}
-		slowness := st.slowness(now)
-		if slowness >= slowThreshold && float64(s.waiting.Len()) < (slowness-1)*float64(healthy*profile.MaxSize) {
+		avoided := s.avoids(now, profile, st)
+		if avoided && !s.hasExcess(now, profile, st) {
 			continue
 		}
-		if best == nil || st.preferredTo(best, now) {
-			best = st
+		if best == nil || bestAvoided && !avoided || bestAvoided == avoided && st.preferredTo(best) {
+			best, bestAvoided = st, avoided
 		}
 	}
 	return best
 }
 
+// avoids reports whether other targets go before one that has become slow. If it names a limit it is avoided only while its
+// slowness would make waiting pieces late: a grant that is not used is lost.
+func (s *Scheduler) avoids(now time.Time, profile route.BatchProfile, st *targetState) bool {
+	if !st.isSlow(now) {
+		return false
+	}
+	extra := time.Duration((st.slowness(now) - 1) * float64(profile.CallDuration(profile.MaxSize)))
+	return !st.limit.IsSet() || s.waiting.isLateIfDelayed(now, extra)
+}
+
+// hasExcess reports whether more pieces wait than the healthy targets can take in the extra time that a slow one needs; those
+// that lack a grant take none.
+func (s *Scheduler) hasExcess(now time.Time, profile route.BatchProfile, slow *targetState) bool {
+	healthy := 0
+	for _, st := range s.targets {
+		if !st.isSlow(now) && !st.unavailable(now) && st.hasGrant(now) {
+			healthy++
+		}
+	}
+	return float64(s.waiting.Len()) >= (slow.slowness(now)-1)*float64(healthy*profile.MaxSize)
+}
+
 // targetsByDatacentre summarises the targets of each data centre that are not slow.
 func (s *Scheduler) targetsByDatacentre(now time.Time) map[string]datacentreTargets {
 	list := map[string]datacentreTargets{}
 	for _, st := range s.targets {
-		if st.slowness(now) >= slowThreshold {
+		if st.isSlow(now) {
 			continue
 		}
 		entry, ok := list[st.target.Datacentre]
--- a/internal/serving/batch/scheduler_test.go
+++ b/internal/serving/batch/scheduler_test.go
@@ -155,6 +155,65 @@
 	}
 }
 
+// newSlowScheduler returns a scheduler whose target "slow" has just taken five times as long as "steady".
+func newSlowScheduler(t *testing.T) (s *Scheduler, now time.Time) {
+	s = newTestScheduler("slow", "steady")
+	s.addPieces(8, 1)
+	now = start.Add(5 * testProfile.CallDuration(4))
+	for range 2 {
+		c := startCall(t, s, start)
+		ended := now
+		if c.Target.ID == "steady" {
+			ended = start.Add(testProfile.CallDuration(4))
+		}
+		c.Complete(ended, testProfile, newReply(c, 4))
+	}
+	return s, now
+}
+
+// TestSlowTargetUsesItsGrants covers a target that names a limit and has become slow: it takes the next piece if that is on time
+// there, or if no other target may take it.
+func TestSlowTargetUsesItsGrants(t *testing.T) {
+	limit := Limit{Interval: 500 * time.Millisecond}
+	for _, tt := range []struct {
+		name string
+		// aim is the time in which the piece has to start to meet its objective.
+		aim    time.Duration
+		limits map[string]Limit
+		want   string
+	}{
+		{"piece on time", 2 * time.Second, map[string]Limit{"slow": limit}, "slow"},
+		{"piece late", 100 * time.Millisecond, map[string]Limit{"slow": limit}, "steady"},
+		{"piece late, no other target has a grant", 100 * time.Millisecond, map[string]Limit{"slow": limit, "steady": limit}, "slow"},
+		{"no limit", 2 * time.Second, nil, "steady"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, now := newSlowScheduler(t)
+			s.SetLimits(tt.limits)
+			s.RecordGrant(now, s.targets["slow"].target)
+			s.Add(piece(Group{ResultBytes: 1, StartByObjective: now.Add(tt.aim), StartByDeadline: now.Add(time.Minute)}))
+			if got := startCall(t, s, now).Target.ID; got != tt.want {
+				t.Errorf("got target %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestNoGrantForTargetThatGetsNoCall covers a piece that a slow target would make late: no grant is taken that would not be used.
+func TestNoGrantForTargetThatGetsNoCall(t *testing.T) {
+	for _, tt := range []struct {
+		aim  time.Duration
+		want int
+	}{{2 * time.Second, 1}, {100 * time.Millisecond, 0}} {
+		s, now := newSlowScheduler(t)
+		s.SetLimits(map[string]Limit{"slow": {Interval: 500 * time.Millisecond}})
+		s.Add(piece(Group{ResultBytes: 1, StartByObjective: now.Add(tt.aim), StartByDeadline: now.Add(time.Minute)}))
+		if got := len(s.TargetsToClaim(now, testProfile)); got != tt.want {
+			t.Errorf("piece to start within %s: got %d targets to claim, want %d", tt.aim, got, tt.want)
+		}
+	}
+}
+
 // TestShortCallsAreNotSlow covers a call that takes twice as long as expected because of some tens of milliseconds, and one that
 // takes longer.
 func TestShortCallsAreNotSlow(t *testing.T) {
--- a/internal/serving/batch/target_state.go
+++ b/internal/serving/batch/target_state.go
@@ -113,6 +113,9 @@
 	return 1 + excess
 }
 
+// isSlow reports whether the target has become slow.
+func (s *targetState) isSlow(now time.Time) bool { return s.slowness(now) >= slowThreshold }
+
 // nextStart returns when the target can start a call.
 func (s *targetState) nextStart(now time.Time) time.Time {
 	at := now
@@ -183,11 +186,8 @@
 	return s.heldBytes + s.untrackedBytes(now)
 }
 
-// preferredTo reports whether the target takes the next call rather than b.
-func (s *targetState) preferredTo(b *targetState, now time.Time) bool {
-	if slowA, slowB := s.slowness(now) >= slowThreshold, b.slowness(now) >= slowThreshold; slowA != slowB {
-		return !slowA
-	}
+// preferredTo reports whether the target takes the next call rather than b if neither is avoided, or both are.
+func (s *targetState) preferredTo(b *targetState) bool {
 	// A grant that is not used is lost.
 	if s.limit.IsSet() != b.limit.IsSet() {
 		return s.limit.IsSet()
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -351,7 +351,7 @@
 	d.expireLate(now, s, profile)
 	d.dropQuarantined(now, s)
 	s.StartRound()
-	defer d.claimTargets(now, s)
+	defer d.claimTargets(now, s, profile)
 	for {
 		c, ok := s.NextCall(now, profile)
 		if !ok {
--- a/internal/wire/dispatch/grants.go
+++ b/internal/wire/dispatch/grants.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/ratelimit"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
@@ -39,8 +40,8 @@
 }
 
 // claimTargets asks for calls to limited targets while pieces wait; the lock is held.
-func (d *Dispatcher) claimTargets(now time.Time, s *shardScheduler) {
-	targets := s.TargetsToClaim(now)
+func (d *Dispatcher) claimTargets(now time.Time, s *shardScheduler, profile route.BatchProfile) {
+	targets := s.TargetsToClaim(now, profile)
 	if len(targets) == 0 {
 		return
 	}
