--- a/internal/wire/dispatch/client.go
+++ b/internal/wire/dispatch/client.go
@@ -179,15 +179,15 @@
 	c.backoffs[node.Name] = x
 	c.mu.Unlock()
 	if !errors.Is(err, errDeclined) {
-		c.nodes.Discard(node.Address)
+		c.nodes.Discard(sentAt, node.Address)
 	}
 	c.cfg.Log.WithError(err).WithFields(logrus.Fields{
 		"request": g.Request, "service": g.Service, "peer": node.Name, "shun_ms": x.Until().Sub(now).Milliseconds(),
 	}).Warn("desk: node did not run the group; trying another node")
 }
 
-func (c *Client) deskClient(address string) (deskpb.DeskClient, error) {
-	conn, err := c.nodes.Conn(address)
+func (c *Client) deskClient(now time.Time, address string) (deskpb.DeskClient, error) {
+	conn, err := c.nodes.Conn(now, address)
 	if err != nil {
 		return nil, err
 	}
@@ -208,7 +208,7 @@
 // produceRemote runs a group at another node.
 func (c *Client) produceRemote(ctx context.Context, now time.Time, node registry.Node, g batch.Group, onInputsFetched func()) (GroupResults, error) {
 	out := GroupResults{Node: node.Name}
-	client, err := c.deskClient(node.Address)
+	client, err := c.deskClient(now, node.Address)
 	if err != nil {
 		return out, err
 	}
@@ -264,7 +264,7 @@
 		c.cfg.Local.Free(handles)
 		return
 	}
-	client, err := c.deskClient(x.Address)
+	client, err := c.deskClient(c.cfg.Now(), x.Address)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), remoteFreeTimeout)
 		defer cancel()
--- a/internal/wire/permit/client.go
+++ b/internal/wire/permit/client.go
@@ -232,7 +232,7 @@
 	if keeper == c.cfg.Self {
 		return c.local.Reserve(ctx, p, claim)
 	}
-	node, client, err := c.permitClient(keeper)
+	node, client, err := c.permitClient(now, keeper)
 	if err != nil {
 		return nil, err
 	}
@@ -247,12 +247,12 @@
 	return fromDecision(m)
 }
 
-func (c *Client) permitClient(name string) (registry.Node, permitpb.PermitClient, error) {
+func (c *Client) permitClient(now time.Time, name string) (registry.Node, permitpb.PermitClient, error) {
 	node, ok := c.cfg.Registry().Node(name)
 	if !ok {
 		return node, nil, merry.Errorf("node %s is not known", name)
 	}
-	conn, err := c.nodes.Conn(node.Address)
+	conn, err := c.nodes.Conn(now, node.Address)
 	if err != nil {
 		return node, nil, err
 	}
@@ -273,7 +273,7 @@
 	c.backoffs[node.Name] = x
 	c.lost[node.Name] = node.StartedAt
 	c.mu.Unlock()
-	c.nodes.Discard(node.Address)
+	c.nodes.Discard(sentAt, node.Address)
 	c.cfg.Log.WithError(err).WithFields(logrus.Fields{"peer": node.Name, "shun_ms": x.Until().Sub(now).Milliseconds()}).Warn("limit: keeper does not answer")
 }
 
@@ -314,13 +314,13 @@
 
 // exchange tells a node of the limits of a pool and learns what it knows.
 func (c *Client) exchange(name string, p ratelimit.Pool) {
-	node, client, err := c.permitClient(name)
+	now := c.cfg.Now()
+	node, client, err := c.permitClient(now, name)
 	if err != nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), transitTime)
 	defer cancel()
-	now := c.cfg.Now()
 	list := poolReports(now, c.cfg.Notices.Board(), c.cfg.Registry(), p)
 	m, err := client.Exchange(ctx, &permitpb.Limits{Service: p.Service, Datacentre: p.Datacentre, Limits: ToLimits(now, list)})
 	if err != nil {
