Replace a silent connection between nodes once

Cause: every call that waited in vain discarded whatever connection its peer had by then, also the new one that had replaced the silent one. Digests go out every 100 ms and wait for a second, so a node that was slow for a second was dialed anew every 100 ms by each other, no new connection lived for long enough to answer, and the dials kept the nodes slow. Seen in a trial of TestLargeTeamDoesNotStarveSmallOne (two fleets of six nodes at once in one process, GOMAXPROCS=1): no request answered, 13 % of the processor time in (*addrConn).connect, none of it in the profile of one fleet alone. Change: a call discards the connection that it used, and only while that is the one in use.

--- a/internal/fleet/node/digest.go
+++ b/internal/fleet/node/digest.go
@@ -81,7 +81,7 @@
 	reply, err := client.Digest(ctx, n.digest(nil))
 	if err != nil {
 		if ctx.Err() != nil {
-			n.conns.Discard(address)
+			n.conns.Discard(client)
 		}
 		return
 	}
--- a/internal/fleet/node/membership.go
+++ b/internal/fleet/node/membership.go
@@ -245,7 +245,7 @@
 	for _, m := range pruned {
 		n.witness.remove(m.Name)
 		n.contacts.remove(m.Name)
-		n.conns.Discard(m.PeerAddress)
+		n.conns.Remove(m.PeerAddress)
 	}
 	if !n.isRelay() {
 		return
--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -54,23 +54,30 @@
 
 var errPartitioned = errors.New("node is partitioned from its peers")
 
+// Client calls a peer over one connection.
+type Client struct {
+	peerpb.PeerClient
+	address string
+	conn    *grpc.ClientConn
+}
+
 // Client returns the client for an address; it connects on the first call.
-func (c *ConnPool) Client(address string) (peerpb.PeerClient, error) {
+func (c *ConnPool) Client(address string) (Client, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.partitioned {
-		return nil, errPartitioned
+		return Client{}, errPartitioned
 	}
 	conn, ok := c.conns[address]
 	if !ok {
 		dialed, err := c.dial(address)
 		if err != nil {
-			return nil, err
+			return Client{}, err
 		}
 		c.conns[address] = dialed
 		conn = dialed
 	}
-	return peerpb.NewPeerClient(conn), nil
+	return Client{PeerClient: peerpb.NewPeerClient(conn), address: address, conn: conn}, nil
 }
 
 func (c *ConnPool) dial(address string) (*grpc.ClientConn, error) {
@@ -91,16 +98,32 @@
 	)
 }
 
-// Discard stops using the connection to an address, after a call on it became unresponsive.
-func (c *ConnPool) Discard(address string) {
+// Discard stops using the connection of a client, after a call on it became unresponsive. A connection that has replaced it meanwhile
+// stays in use.
+func (c *ConnPool) Discard(client Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[client.address] == client.conn {
+		c.remove(client.address)
+	}
+}
+
+// Remove stops using the connection to an address.
+func (c *ConnPool) Remove(address string) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.remove(address)
+}
+
+// remove requires the lock.
+func (c *ConnPool) remove(address string) {
 	conn, ok := c.conns[address]
-	delete(c.conns, address)
-	c.mu.Unlock()
-	if ok {
-		// Other calls on the connection may still work; they get 10 seconds to finish.
-		time.AfterFunc(10*time.Second, func() { _ = conn.Close() })
+	if !ok {
+		return
 	}
+	delete(c.conns, address)
+	// Other calls on the connection may still work; they get 10 seconds to finish.
+	time.AfterFunc(10*time.Second, func() { _ = conn.Close() })
 }
 
 // Close closes all connections.
@@ -134,7 +157,7 @@
 		return onEvent(e)
 	})
 	if unresponsive.Load() {
-		c.Discard(address)
+		c.Discard(client)
 	}
 	return sentFlag.Load(), err
 }
