Test that pieces for slow targets do not wait for one without a grant

Cause of the rejections in TestLimitedTargetGetsNoMoreThanItsLimit/stage_target beside load: a process that gets little processor time measures calls of its targets that are 5 to 10 times as long as expected, so those without a limit count as slow. The limited one did not, and counted as a healthy target that takes the pieces, although it had no grant: up to (slowness - 1) times a full call waited for it, seconds at 50 pieces a second, while the others were idle. Pieces whose time ran out were given up: 503, cause "piece". Result: TestPiecesDoNotWaitForTargetWithoutGrant fails on (no call) and passes now.

--- a/internal/serving/batch/scheduler_test.go
+++ b/internal/serving/batch/scheduler_test.go
@@ -199,6 +199,28 @@
 	}
 }
 
+// TestPiecesDoNotWaitForTargetWithoutGrant covers pieces for a target that has become slow and one that names a limit: they go to the
+// slow one rather than wait for a grant.
+func TestPiecesDoNotWaitForTargetWithoutGrant(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		hasGrant bool
+		want     string
+	}{{"grant", true, "steady"}, {"no grant", false, "slow"}} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, now := newSlowScheduler(t)
+			s.SetLimits(map[string]Limit{"steady": {Interval: 500 * time.Millisecond}})
+			if tt.hasGrant {
+				s.RecordGrant(now, s.targets["steady"].target)
+			}
+			s.addPieces(1, 1)
+			if got := startCall(t, s, now).Target.ID; got != tt.want {
+				t.Errorf("got target %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestNoGrantForTargetThatGetsNoCall covers a piece that a slow target would make late: no grant is taken that would not be used.
 func TestNoGrantForTargetThatGetsNoCall(t *testing.T) {
 	for _, tt := range []struct {
