Do not take one's own pause for the silence of a peer

Cause: a node gives up an attempt at another node after 1.5 s without a heartbeat, by a timer. If the node itself stood still, or got no processor, the timer fires although the heartbeats wait in its socket: all its attempts end with "the target's owner did not answer", and since they are cancelled at their targets these collect errors and turn cold. Seen in trials of TestLargeTeamDoesNotStarveSmallOne (SIGSTOP for 1.7 s after 5 s) and with two fleets at once with GOMAXPROCS=1. Change: a look every 300 ms counts how long the peer has been silent; of a look that is late by more than that, only 300 ms count.

--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -147,13 +147,13 @@
 	sentFlag := &atomic.Bool{}
 	ctx = context.WithValue(ctx, sentKey{}, sentFlag)
 	unresponsive := &atomic.Bool{}
-	heartbeatTimer := time.AfterFunc(HeartbeatTimeout, func() {
+	quiet := newSilence(time.Now())
+	go quiet.watch(ctx, func() {
 		unresponsive.Store(true)
 		cancel()
 	})
-	defer heartbeatTimer.Stop()
 	err = receiveEvents(ctx, client, w, func(e *peerpb.WorkEvent) error {
-		heartbeatTimer.Reset(HeartbeatTimeout)
+		quiet.hear(time.Now())
 		return onEvent(e)
 	})
 	if unresponsive.Load() {
