Give each test process IP addresses of its own

Cause: a test of the program closed the port that it had found before the node took it; another process could take it in between. Each node listens for its metrics at port 9464 of its address, so a shared one keeps it from starting. The fault matrix looked for free ports and closed them, too. Conclusion: test processes no longer take each other's addresses.

--- a/cmd/lacewingdrift/serve_test.go
+++ b/cmd/lacewingdrift/serve_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -10,6 +9,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/bench/loopback"
 )
 
 // TestSecondSignalDuringStop covers supervisors that send SIGTERM several times, and an operator who interrupts the stop.
@@ -34,7 +35,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			address := freeAddress(t)
+			address := loopback.Address()
 			file := filepath.Join(t.TempDir(), "node.toml")
 			text := fmt.Sprintf("name = \"maipo-1\"\ndatacentre = \"maipo\"\n[caller]\naddress = %q\n[peer]\naddress = \"127.0.0.1:0\"\n[platform]\nurl = \"http://127.0.0.1:1\"\n[timing]\nlag = %q\n", address, lag)
 			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
@@ -68,16 +69,6 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func answers(address string) bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Get("http://" + address + "/healthz")
--- a/internal/bench/faultmatrix/fleet_test.go
+++ b/internal/bench/faultmatrix/fleet_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/lacewingdrift/lacewingdrift/internal/bench/loopback"
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/datacentre"
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/duration"
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/pipeline"
@@ -82,30 +82,6 @@
 	return nil
 }
 
-// firstPort is below the range of ephemeral ports, so that outgoing connections never occupy a cell's port.
-const firstPort = 20000
-
-var (
-	portMu   sync.Mutex
-	nextPort = firstPort
-)
-
-// freeAddress returns an address that no other cell gets.
-func freeAddress() string {
-	portMu.Lock()
-	defer portMu.Unlock()
-	for {
-		nextPort++
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		return address
-	}
-}
-
 func startProcess(name, log, program string, args ...string) (*instance, error) {
 	out, err := os.OpenFile(log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -130,7 +106,7 @@
 	t.Helper()
 	f := &fleet{dir: t.TempDir(), nodes: map[string]*instance{}, targets: map[string]*instance{}}
 	t.Cleanup(f.stop)
-	address := freeAddress()
+	address := loopback.Address()
 	var err error
 	if f.platform, err = startProcess("platform", f.logPath("platform"), standinProgram, "platform", "--address", address); err != nil {
 		t.Fatal(err)
@@ -155,7 +131,7 @@
 }
 
 func (f *fleet) startTarget(name string) error {
-	address := freeAddress()
+	address := loopback.Address()
 	kind := "service"
 	if strings.HasPrefix(name, "write") {
 		kind = "engine"
@@ -216,7 +192,7 @@
 
 // configureNode allocates a node's addresses and writes its settings.
 func (f *fleet) configureNode(name string) (*instance, error) {
-	caller, peer := freeAddress(), freeAddress()
+	caller, peer := loopback.Address(), loopback.Address()
 	peerProxy, err := faultproxy.New(peer)
 	if err != nil {
 		return nil, err
