Let crashed stand-ins of targets come back at ports that nobody takes

Cause: stand-ins of targets and the proxies before them listened at ports that the system also gives to outgoing connections. While one was down, as a crash in a test wants it, a connection of the test itself could take its port: "target m-0 cannot listen again: listen tcp 127.0.0.1:39507: bind: address already in use".

--- a/internal/bench/loopback/doc.go
+++ b/internal/bench/loopback/doc.go
@@ -1,2 +1,2 @@
-// Package loopback gives tests addresses that nothing else on the machine takes.
+// Package loopback gives tests and measurements addresses that nothing else on the machine takes.
 package loopback
--- a/internal/bench/testbed/testbed.go
+++ b/internal/bench/testbed/testbed.go
@@ -17,6 +17,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/lacewingdrift/lacewingdrift/examples"
+	"github.com/lacewingdrift/lacewingdrift/internal/bench/loopback"
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/bundle"
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/duration"
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/pool"
@@ -180,7 +181,7 @@
 	for i, t := range targets {
 		e := engine.New(engine.Config{
 			Name:            t.Name,
-			Address:         "127.0.0.1:0",
+			Address:         loopback.Address(),
 			ColdLimit:       p.ColdLimit,
 			WarmupSuccesses: p.WarmupSuccesses,
 			Limit:           p.Limit,
