Leave a slow target only with a retry of the budget

Cause: a retryable request without a response leaves its target after a third of its time (moveTimeout), and only then asks the node's share of the retry budget for another attempt. Without one the caller gets 502 "target gave no answer; no budget for another attempt" from a request whose target would have answered in time.

Change: the timer asks for the retry first. With a grant the send ends, and the next attempt uses the grant; without one the send goes on. A grant that comes to nothing (no other target, an answer at the same moment, a stop) goes back to the part of the window in which it was taken. Sends that follow a failure ask as before. The budget is not asked again for a send that stays.

A send to a silent connection that gets no grant lasts until the request's deadline, since nothing may follow it.

--- a/internal/serving/budget/window.go
+++ b/internal/serving/budget/window.go
@@ -71,3 +71,18 @@
 	w.retries[0]++
 	return true
 }
+
+// Return takes back a retry that was counted at takenAt and has not been made.
+func (w *RetryWindow) Return(now, takenAt time.Time, limits RetryLimits) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now, limits.Window)
+	step := limits.Window / windowParts
+	part := 0
+	for takenAt.Before(w.start.Add(-time.Duration(part) * step)) {
+		part++
+	}
+	if part < windowParts && w.retries[part] > 0 {
+		w.retries[part]--
+	}
+}
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -45,6 +45,7 @@
 // forward sends a request to targets until one answers it.
 func (g *Gateway) forward(ctx context.Context, r *http.Request, rs *requestState, rw *responseWriter) *outcome {
 	g.awaitReports(ctx, rs)
+	defer g.returnRetry(rs)
 	tried := map[string]bool{}
 	fallback := refusal(causeNoTarget, "service has no target that may be used", shortRetry)
 	for unsent := 0; unsent < maxUnsent; {
@@ -107,7 +108,7 @@
 			g.unpick(now, rs, t)
 			continue
 		}
-		if rs.sends > 0 && !g.AllowRetry(now, rs.service.Name) {
+		if rs.sends > 0 && !g.takeRetry(now, rs) {
 			cleared.onEnd(false)
 			g.unpick(now, rs, t)
 			fallback.reason += "; no budget for another attempt"
@@ -295,9 +296,9 @@
 	defer cancel(nil)
 	rw.stopMove = nil
 	if timeout := g.moveTimeout(started, rs, rw); timeout > 0 {
-		move := time.AfterFunc(timeout, func() { cancel(errMoved) })
-		defer move.Stop()
-		rw.stopMove = func() { move.Stop() }
+		move := g.startMove(timeout, rs.service.Name, func() { cancel(errMoved) })
+		defer func() { rs.retryTakenAt = move.stop() }()
+		rw.stopMove = func() { move.stop() }
 	}
 	req := connection.Request{
 		Method: rs.Method, URI: rs.URI, Host: rs.Host, Body: rs.Body,
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -168,6 +168,8 @@
 	sentTo map[string]bool
 	// mayHaveRun is set if a target may have run the request.
 	mayHaveRun bool
+	// retryTakenAt is when it was granted a retry that it has not made yet, zero if it was not.
+	retryTakenAt time.Time
 	// heldFor is how long it waited for other nodes that had it too when targets crashed.
 	heldFor time.Duration
 	// claimID identifies the request at keepers of limits, announced is the pool in which it has been announced, keeper the node
