Revert "Let nodes take turns with a request that crashes targets"

Cause: a reviewer who had not seen the work showed that sound requests wait: a target that crashes by itself under an ordinary request makes the retry wait for the node's own report, 0.2 s where the store takes 300 ms or stalls, and after a 503 within 300 ms.

Conclusion: TestRequestThatCrashesTargetsIsStopped may still exceed its bound at loads of 24 and more.

--- a/internal/fleet/quarantine/board.go
+++ b/internal/fleet/quarantine/board.go
@@ -26,8 +26,6 @@
 	reports map[string]Report
 	traits  map[Trait]evidence
 	trials  Trials
-	// published is the report of this node as the store last had it.
-	published Report
 }
 
 // evidence is what the nodes' reports say of one trait.
@@ -69,12 +67,6 @@
 	return b
 }
 
-// WithPublished returns the board with the report of this node as the store has it.
-func (b Board) WithPublished(r Report) Board {
-	b.published = r
-	return b
-}
-
 // Report returns the report of a node.
 func (b Board) Report(node string) Report { return b.reports[node] }
 
@@ -83,7 +75,7 @@
 
 // replacing returns a copy of the board whose evidence has a report in place of the node's earlier one.
 func (b Board) replacing(now time.Time, node string, r Report) Board {
-	next := Board{reports: maps.Clone(b.reports), traits: maps.Clone(b.traits), trials: b.trials, published: b.published}
+	next := Board{reports: maps.Clone(b.reports), traits: maps.Clone(b.traits), trials: b.trials}
 	if next.reports == nil {
 		next.reports, next.traits = map[string]Report{}, map[Trait]evidence{}
 	}
--- a/internal/fleet/quarantine/decision.go
+++ b/internal/fleet/quarantine/decision.go
@@ -15,8 +15,6 @@
 type SendAlone struct {
 	Trait   Trait
 	Crashes int
-	// HoldUntil is from when on this node may send it, unless its reports say otherwise before.
-	HoldUntil time.Time
 }
 
 // Reject decides that a request is kept from targets because of a verdict.
@@ -31,8 +29,8 @@
 func (SendAlone) isDecision() {}
 func (Reject) isDecision()    {}
 
-// decide returns the decision of a node on a request with some traits.
-func (v *view) decide(now time.Time, self string, traits []Trait) Decision {
+// decide returns the decision on a request with some traits.
+func (v *view) decide(now time.Time, traits []Trait) Decision {
 	for _, t := range traits {
 		for _, verdict := range v.byTrait[t] {
 			if verdict.Applies(traits) {
@@ -42,7 +40,7 @@
 	}
 	for _, t := range slices.Backward(traits) {
 		if n := v.board.unknownCrashes(now, t); n > 0 {
-			return SendAlone{Trait: t, Crashes: n, HoldUntil: v.board.turnAt(now, self, t)}
+			return SendAlone{Trait: t, Crashes: n}
 		}
 	}
 	return Send{}
--- a/internal/fleet/quarantine/keeper.go
+++ b/internal/fleet/quarantine/keeper.go
@@ -67,8 +67,6 @@
 type Keeper struct {
 	cfg  KeeperConfig
 	view atomic.Pointer[view]
-	// changed is closed and replaced when the board changes.
-	changed atomic.Pointer[chan struct{}]
 
 	// mu serialises changes.
 	mu sync.Mutex
@@ -91,22 +89,10 @@
 	_, _ = rand.Read(key)
 	k := &Keeper{cfg: cfg, digests: map[Trait]digest{}, seed: maphash.MakeSeed(), since: map[Trait]time.Time{}}
 	k.key.Store(&key)
-	changed := make(chan struct{})
-	k.changed.Store(&changed)
 	k.view.Store(&view{})
 	return k
 }
 
-// replace puts a board in place of the current one; the lock is held.
-func (k *Keeper) replace(now time.Time, b Board) {
-	k.view.Store(newView(now, b))
-	next := make(chan struct{})
-	close(*k.changed.Swap(&next))
-}
-
-// Changed returns a channel that is closed when any report changes.
-func (k *Keeper) Changed() <-chan struct{} { return *k.changed.Load() }
-
 // Board returns the current board.
 func (k *Keeper) Board() Board { return k.view.Load().board }
 
@@ -174,7 +160,7 @@
 	if len(v.board.traits) == 0 && len(v.verdicts) == 0 {
 		return Send{}
 	}
-	d := v.decide(now, k.cfg.Node, k.traits(r))
+	d := v.decide(now, k.traits(r))
 	if reject, ok := d.(Reject); ok && now.Sub(reject.Verdict.At) > confirmInterval {
 		verdict := reject.Verdict
 		verdict.At = now
@@ -290,7 +276,7 @@
 func (k *Keeper) SetTrials(now time.Time, t Trials) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.replace(now, k.Board().WithTrials(t))
+	k.view.Store(newView(now, k.Board().WithTrials(t)))
 }
 
 // Trials returns the trials that the fleet has taken, as far as this node knows.
@@ -301,7 +287,7 @@
 	k.mu.Lock()
 	before := k.Board()
 	report := update(before.Report(k.cfg.Node).Pruned(now)).Bounded(func(t Trait) int { return len(before.traits[t].strikes) })
-	k.replace(now, before.With(now, k.cfg.Node, report))
+	k.view.Store(newView(now, before.With(now, k.cfg.Node, report)))
 	k.forgetDigests(report)
 	k.mu.Unlock()
 	if urgency != "" {
@@ -327,29 +313,20 @@
 // Merge replaces the report of another node, or joins an earlier report of this node with its current one.
 func (k *Keeper) Merge(now time.Time, node string, r Report) {
 	k.mu.Lock()
-	b := k.Board()
 	if node == k.cfg.Node {
-		b = b.WithPublished(r)
-		r = b.Report(node).WithReport(r)
+		r = k.Board().Report(node).WithReport(r)
 	}
-	b = b.With(now, node, r.Pruned(now))
-	k.replace(now, b)
+	b := k.Board().With(now, node, r.Pruned(now))
+	k.view.Store(newView(now, b))
 	k.mu.Unlock()
 	k.cfg.OnEvidence()
 }
 
-// RecordPublished records that all nodes can read a report of this node.
-func (k *Keeper) RecordPublished(now time.Time, r Report) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.replace(now, k.Board().WithPublished(r))
-}
-
 // Remove drops the report of a node.
 func (k *Keeper) Remove(now time.Time, node string) {
 	k.mu.Lock()
 	b := k.Board().Without(now, node)
-	k.replace(now, b)
+	k.view.Store(newView(now, b))
 	k.mu.Unlock()
 	k.cfg.OnEvidence()
 }
--- a/internal/fleet/quarantine/request_test.go
+++ b/internal/fleet/quarantine/request_test.go
@@ -37,7 +37,7 @@
 }
 
 func decide(b Board, now time.Time, traits []Trait) Decision {
-	return newView(now, b).decide(now, "n-self", traits)
+	return newView(now, b).decide(now, traits)
 }
 
 // TestRequestsThatCrashTargets covers one request that crashes each target that runs it, at several nodes and milliseconds apart, beside
--- a/internal/operator/gatewaynode/quarantine.go
+++ b/internal/operator/gatewaynode/quarantine.go
@@ -93,7 +93,6 @@
 	for ctx.Err() == nil {
 		if err := c.node.view.shared.ensureKey(ctx); err != nil {
 			cfg.Log.WithError(err).Warn("fleet: writing the key that requests are named with failed")
-			c.keeper.RecordPublished(cfg.Now(), c.keeper.Own(cfg.Now()))
 			c.sleep(ctx, reportRetry)
 			continue
 		}
@@ -117,8 +116,6 @@
 			continue
 		}
 		cfg.Log.WithError(err).Warn("fleet: writing the node's report of crashes failed")
-		// No request waits for a store that is down.
-		c.keeper.RecordPublished(cfg.Now(), report)
 		c.sleep(ctx, reportRetry)
 	}
 }
@@ -199,10 +196,9 @@
 	if node != c.node.cfg.Settings.Name {
 		return
 	}
-	r, err := c.node.cfg.Platform.ParseCrashReport(o)
+	_, err := c.node.cfg.Platform.ParseCrashReport(o)
 	if err == nil {
 		c.node.view.logReadable(o)
-		c.keeper.RecordPublished(c.node.cfg.Now(), r)
 		return
 	}
 	c.node.view.logUnreadable(o, err)
--- a/internal/wire/gateway/crash.go
+++ b/internal/wire/gateway/crash.go
@@ -111,32 +111,10 @@
 	return refusal(causeQuarantined, reason, quarantineRetry)
 }
 
-// hold waits while another node has its turn with a request that targets have crashed under, and reports whether it did.
-func (g *Gateway) hold(ctx context.Context, rs *requestState) bool {
-	changed := g.cfg.Quarantine.Changed()
-	now := g.cfg.Now()
-	d, ok := g.cfg.Quarantine.Decide(now, rs.suspect).(quarantine.SendAlone)
-	if !ok || !now.Before(d.HoldUntil) {
-		return false
-	}
-	timer := time.NewTimer(d.HoldUntil.Sub(now))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-changed:
-	case <-timer.C:
-	}
-	rs.heldFor += g.cfg.Now().Sub(now)
-	rs.log["held_ms"], rs.log["fingerprint"] = rs.heldFor.Milliseconds(), d.Trait.ID
-	return true
-}
-
 // clearance is whether a request that has a target may be sent to it now: it has its outcome, waits until another send has ended, or
-// goes. Then onEnd is called when the send has ended, and isTrial is set if no further one may follow. isHeld is set if another node
-// has its turn with the request.
+// goes. Then onEnd is called when the send has ended, and isTrial is set if no further one may follow.
 type clearance struct {
 	outcome *outcome
-	isHeld  bool
 	wait    <-chan struct{}
 	onEnd   func(isComplete bool)
 	isTrial bool
@@ -156,9 +134,6 @@
 			}
 		}}
 	case quarantine.SendAlone:
-		if g.cfg.Now().Before(d.HoldUntil) {
-			return clearance{isHeld: true}
-		}
 		release, wait := g.alone.enter(d.Trait)
 		return clearance{wait: wait, onEnd: func(bool) { release() }}
 	default:
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -62,9 +62,6 @@
 		if out := g.checkQuarantine(now, rs); out != nil {
 			return out
 		}
-		if g.hold(ctx, rs) {
-			continue
-		}
 		if rs.sends > 0 && g.isPastRetry(now, rs, rw) {
 			fallback.reason += "; no time for another attempt"
 			return fallback
@@ -93,10 +90,6 @@
 			g.unpick(now, rs, t)
 			return cleared.outcome
 		}
-		if cleared.isHeld {
-			g.unpick(now, rs, t)
-			continue
-		}
 		if cleared.wait != nil {
 			g.unpick(now, rs, t)
 			await(ctx, cleared.wait)
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -170,8 +170,6 @@
 	mayHaveRun bool
 	// retryTakenAt is when it was granted a retry that it has not made yet, zero if it was not.
 	retryTakenAt time.Time
-	// heldFor is how long it waited for other nodes that had it too when targets crashed.
-	heldFor time.Duration
 	// claimID identifies the request at keepers of limits, announced is the pool in which it has been announced, keeper the node
 	// that last decided on a claim of it.
 	claimID   string
