--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -156,7 +156,7 @@
 	n.peerServer = grpc.NewServer()
 	dispatch.Register(n.peerServer, n.dispatcher)
 	permit.Register(n.peerServer, n.keeper)
-	snapshot.Register(n.peerServer, n.view)
+	snapshot.Register(n.peerServer, n.view, n.view.maxStoreAge())
 	go n.serve("nodes", func() error { return n.peerServer.Serve(peers) })
 	callers, err := listen(s.CallerAddress)
 	if err != nil {
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -246,10 +246,10 @@
 
 // Staleness returns the time since the store last answered for the configuration or for targets, whichever is longer.
 //
-// A node that follows another one cannot be followed: two nodes that follow each other would both wait for changes that
+// A node that follows another one, or is about to, cannot be followed: two nodes that follow each other would both wait for changes that
 // neither reads.
 func (v *fleetView) Staleness() time.Duration {
-	if mode, _ := v.source.state(); mode == fromRelay {
+	if !v.source.canBeFollowed() {
 		return followerStaleness
 	}
 	now := v.cfg.Now()
