Hold targets after an outage at nodes whose relays were stale in it

Cause: since a follower without a fresh relay reads the configuration first, and if the store does not answer only that kind counted as unavailable. The targets' entries that are gone when the store is back were then dropped at once, while they are held for 1.5 s where the store did not answer for targets. Change: a failed read counts for every kind.

--- a/internal/operator/gatewaynode/follow.go
+++ b/internal/operator/gatewaynode/follow.go
@@ -103,7 +103,10 @@
 		asked := v.cfg.Now()
 		l, err := v.cfg.Store.List(ctx, kind, "")
 		if err != nil {
-			v.recordFailure(kind, err)
+			// What is held after an outage depends on which kinds the store did not answer for.
+			for k := range handlers {
+				v.recordFailure(k, err)
+			}
 			return false
 		}
 		v.recordContact(kind, asked)
