Count the calls of the store by what they are for

Cause: store_calls tells operation, kind and result, but not whether a list is one of a start, of a take-over or of a retry.

--- a/internal/operator/gatewaynode/follow.go
+++ b/internal/operator/gatewaynode/follow.go
@@ -98,6 +98,7 @@
 		return false
 	}
 	v.source.set(fromReads)
+	ctx = object.WithPurpose(ctx, object.PurposeTakeOver)
 	handlers := v.handlers()
 	for _, kind := range []string{v.cfg.Platform.ConfigKind, v.cfg.Platform.TargetKind} {
 		asked := v.cfg.Now()
