Let followers wait in an outage for those that read the store

Cause: counts by purpose name an outage and its return as the largest cost that grows with the fleet besides starts: each follower whose relays were stale went to the store, called it about once a second, and listed and watched every kind at its return. Change: a node whose read in place of its relays has failed goes on asking them and the substitutes before it. While one of these reads the store itself, it reads again after 4 to 6 s only (relay.OutageRetry), otherwise after 1 s as before. Nodes that follow another one do not count. Who is fresh first serves all. A relay of the own data centre is no substitute even if the store did not answer this node before, so that it is not left after 4 s. A node looks only every 0.1 s, after 2 s, whether it has become fresh for those that wait. Left: the start (7 calls a node, 4 of them lists), and one failed read of each node in an outage.

--- a/internal/fleet/relay/search.go
+++ b/internal/fleet/relay/search.go
@@ -17,6 +17,8 @@
 	// substitutesPerDatacentre is the number of nodes of a data centre that read the store in place of its relays before all
 	// others do.
 	substitutesPerDatacentre = 2
+	// outageRetryInterval is the mean time between two reads of a node that waits for others to reach the store.
+	outageRetryInterval = 5 * time.Second
 	// maxSubstitutes bounds the nodes among which those that are not lost are looked for.
 	maxSubstitutes = 8
 )
@@ -68,7 +70,7 @@
 // answer is what is known of an asked node.
 type answer struct {
 	askedAt, heardAt time.Time
-	isLost           bool
+	isReader, isLost bool
 }
 
 // NewSearch returns a search among relays and substitutes, each best first, of a node that may read the store from readFrom on.
@@ -76,8 +78,10 @@
 	return &Search{relays: relays, substitutes: substitutes, readFrom: readFrom, asked: map[string]*answer{}}
 }
 
-// RecordStale records that a node has said that its view is stale.
-func (s *Search) RecordStale(now time.Time, name string) { s.asked[name].heardAt = now }
+// RecordStale records that a node has said that its view is stale; isReader is set if the node reads the store itself.
+func (s *Search) RecordStale(now time.Time, name string, isReader bool) {
+	s.asked[name].heardAt, s.asked[name].isReader = now, isReader
+}
 
 // RecordLost records that a node cannot be reached.
 func (s *Search) RecordLost(name string) { s.asked[name].isLost = true }
@@ -126,6 +130,22 @@
 	return Wait{readAt.Sub(now)}
 }
 
+// HasReader reports whether another node reads the store as soon as that answers.
+func (s *Search) HasReader(now time.Time) bool {
+	for _, a := range s.asked {
+		if a.isReader && !a.isLost && now.Sub(a.heardAt) < heartbeatTimeout {
+			return true
+		}
+	}
+	return false
+}
+
+// OutageRetry returns how long a node whose read of the store has failed waits for others before it reads again, given a
+// random number below 1. Each node would otherwise call a store that is down once a second, and read all of it at its return.
+func OutageRetry(random float64) time.Duration {
+	return time.Duration((0.8 + 0.4*random) * float64(outageRetryInterval))
+}
+
 func (s *Search) ask(now time.Time, n registry.Node) Step {
 	s.asked[n.Name] = &answer{askedAt: now}
 	return Ask{n}
--- a/internal/fleet/relay/search_test.go
+++ b/internal/fleet/relay/search_test.go
@@ -122,7 +122,7 @@
 				case r.isFresh(other, now.Add(-hopTime)):
 					r.freshAt[n.Name] = now
 				case since%reportInterval == hopTime:
-					s.RecordStale(now, other)
+					s.RecordStale(now, other, true)
 				}
 			}
 			if _, hasRead := r.readAt[n.Name]; hasRead || !r.freshAt[n.Name].IsZero() {
@@ -223,6 +223,44 @@
 	}
 }
 
+func TestHasReader(t *testing.T) {
+	now := time.Date(2026, 12, 5, 4, 0, 0, 0, time.UTC)
+	node := registry.Node{Name: "n1"}
+	for _, c := range []struct {
+		name   string
+		record func(*Search)
+		want   bool
+	}{
+		{"has not answered", func(*Search) {}, false},
+		{"reads the store", func(s *Search) { s.RecordStale(now, "n1", true) }, true},
+		{"follows another node", func(s *Search) { s.RecordStale(now, "n1", false) }, false},
+		{"lost since", func(s *Search) { s.RecordStale(now, "n1", true); s.RecordLost("n1") }, false},
+		{"silent since", func(s *Search) { s.RecordStale(now.Add(-heartbeatTimeout), "n1", true) }, false},
+	} {
+		for _, list := range [][][]registry.Node{{{node}, nil}, {nil, {node}}} {
+			s := NewSearch(list[0], list[1], now)
+			if got, want := s.Next(now), (Ask{node}); got != want {
+				t.Fatalf("%s: got step %v, want %v", c.name, got, want)
+			}
+			c.record(s)
+			if got := s.HasReader(now); got != c.want {
+				t.Errorf("%s: got %t, want %t", c.name, got, c.want)
+			}
+		}
+	}
+}
+
+func TestOutageRetry(t *testing.T) {
+	for _, c := range []struct {
+		random float64
+		want   time.Duration
+	}{{0, 4 * time.Second}, {0.5, 5 * time.Second}} {
+		if got := OutageRetry(c.random); got != c.want {
+			t.Errorf("random number %v: got %s, want %s", c.random, got, c.want)
+		}
+	}
+}
+
 func TestSubstitutesFor(t *testing.T) {
 	nodes := fleet(64)
 	ranked := relaysOf(groupByDatacentre(nodes)["a"], 32)
--- a/internal/operator/gatewaynode/follow.go
+++ b/internal/operator/gatewaynode/follow.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
@@ -17,8 +18,8 @@
 )
 
 const (
-	// readInterval is how long a node that has read the store once looks for a relay before it reads the store again; its view
-	// is not stale by then.
+	// readInterval is how long a node that has read the store once, or has failed to, looks for a relay before it reads the
+	// store again; its view is not stale by then.
 	readInterval = time.Second
 	// maxReads bounds the reads without a relay before the node reads the store as a relay does, since they leave out the kinds
 	// whose changes have more time.
@@ -52,16 +53,27 @@
 	var readFrom time.Time
 	reads := 0
 	for ctx.Err() == nil {
-		used, err := v.followAnyRelay(ctx, relays, readFrom)
+		used, hasReader, err := v.followAnyRelay(ctx, relays, readFrom)
 		if used.Name != "" {
 			v.cfg.Log.WithError(err).WithField("relay", used.Name).Info("relay: lost")
 			relays, readFrom, reads = v.nextRelays(relays, used, err), time.Time{}, 0
 			continue
 		}
-		if reads < maxReads && v.readOnce(ctx) {
-			relays, readFrom = v.relays(), v.cfg.Now().Add(readInterval)
-			reads++
-			continue
+		if mode, _ := v.source.state(); mode != fromStore && reads < maxReads && v.hasRelay() {
+			err := v.readOnce(ctx)
+			if err == nil {
+				relays, readFrom = v.relays(), v.cfg.Now().Add(readInterval)
+				reads++
+				continue
+			}
+			if !errors.Is(err, object.ErrGone) {
+				wait := readInterval
+				if hasReader {
+					wait = relay.OutageRetry(rand.Float64())
+				}
+				relays, readFrom = v.relays(), v.cfg.Now().Add(wait)
+				continue
+			}
 		}
 		if v.source.set(fromStore) != fromStore {
 			v.cfg.Log.Info("relay: none available, reading from the store")
@@ -89,16 +101,17 @@
 }
 
 // readOnce reads the configuration and the targets of a node whose relays are not fresh, and holds them for the nodes that follow it
-// meanwhile; it reports false if the node is to read the store as a relay does.
+// meanwhile.
 //
 // Relays that are late, beside load, are most likely fresh again a moment later, and a list and a watch of every kind cost four
 // times as many calls.
-func (v *fleetView) readOnce(ctx context.Context) bool {
-	if mode, _ := v.source.state(); mode == fromStore || !v.hasRelay() {
-		return false
-	}
+func (v *fleetView) readOnce(ctx context.Context) error {
 	v.source.set(fromReads)
-	ctx = object.WithPurpose(ctx, object.PurposeTakeOver)
+	purpose := object.PurposeTakeOver
+	if v.unavailableFor(v.cfg.Now()) > 0 {
+		purpose = object.PurposeRetry
+	}
+	ctx = object.WithPurpose(ctx, purpose)
 	handlers := v.handlers()
 	for _, kind := range []string{v.cfg.Platform.ConfigKind, v.cfg.Platform.TargetKind} {
 		asked := v.cfg.Now()
@@ -108,13 +121,13 @@
 			for k := range handlers {
 				v.recordFailure(k, err)
 			}
-			return false
+			return merry.Prepend(err, "read once")
 		}
 		v.recordContact(kind, asked)
 		v.mergeList(kind, l, handlers[kind].replace)
 	}
 	v.cfg.Log.Info("relay: none is fresh, read the store once")
-	return true
+	return nil
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -152,7 +165,7 @@
 // isSubstitute reports whether a node is followed only until the node's own relays, or the store, are tried again.
 func (v *fleetView) isSubstitute(r registry.Node) bool {
 	isRelay := slices.ContainsFunc(relay.RelaysFor(v.cfg.Settings.Name, v.fleetNodes()), func(n registry.Node) bool { return n.Name == r.Name })
-	return !isRelay || r.Datacentre != v.cfg.Settings.Datacentre || v.unavailableFor(v.cfg.Now()) > 0
+	return !isRelay || r.Datacentre != v.cfg.Settings.Datacentre
 }
 
 // maxStoreAge returns the age of a view from which it is stale.
@@ -161,8 +174,8 @@
 }
 
 // followAnyRelay asks relays, and then substitutes, for a fresh view, and follows the first that has one until it is lost; used is
-// empty if the node is to read the store itself, from readFrom on.
-func (v *fleetView) followAnyRelay(ctx context.Context, relays []registry.Node, readFrom time.Time) (used registry.Node, err error) {
+// empty if the node is to read the store itself, from readFrom on. hasReader is set if others, which go before it, try to.
+func (v *fleetView) followAnyRelay(ctx context.Context, relays []registry.Node, readFrom time.Time) (used registry.Node, hasReader bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var substitutes []registry.Node
@@ -179,32 +192,34 @@
 			continue
 		case relay.Read:
 			if s.claim("") {
-				return registry.Node{}, nil
+				return registry.Node{}, search.HasReader(v.cfg.Now()), nil
 			}
 		case relay.Wait:
 			timeout = time.After(step.For)
 		}
 		select {
 		case <-ctx.Done():
-			return registry.Node{}, ctx.Err()
+			return registry.Node{}, false, ctx.Err()
 		case <-timeout:
 		case a := <-s.answers:
 			if s.isUsed(a.node.Name) {
-				return a.node, s.awaitEnd(ctx, a)
+				return a.node, false, s.awaitEnd(ctx, a)
 			}
 			if a.err != nil {
 				search.RecordLost(a.node.Name)
 				continue
 			}
-			search.RecordStale(v.cfg.Now(), a.node.Name)
+			search.RecordStale(v.cfg.Now(), a.node.Name, a.isReader)
 		}
 	}
 }
 
-// relayAnswer is what became of asking a node: its view is stale or it is followed now, or the stream has ended with err.
+// relayAnswer is what became of asking a node: its view is stale, which a reader of the store can change itself, or it is followed
+// now, or the stream has ended with err.
 type relayAnswer struct {
-	node registry.Node
-	err  error
+	node     registry.Node
+	isReader bool
+	err      error
 }
 
 // relaySearch asks nodes for their views; the first that has a fresh one is followed, and the others are left.
@@ -275,7 +290,7 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
-	s.report(searchCtx, relayAnswer{r, err})
+	s.report(searchCtx, relayAnswer{node: r, err: err})
 }
 
 // follow applies the updates of a node from the first fresh one on, until the stream ends or the node is stale.
@@ -300,7 +315,7 @@
 			v.applyUpdate(u, now.Add(-age))
 			return nil
 		case !report.Fresh(now):
-			s.report(ctx, relayAnswer{node: r})
+			s.report(ctx, relayAnswer{node: r, isReader: age < followerStaleness})
 			return nil
 		case u.Lists == nil:
 			return errNoLists
--- a/internal/wire/snapshot/follow.go
+++ b/internal/wire/snapshot/follow.go
@@ -17,10 +17,11 @@
 	// heartbeatInterval is how often a relay sends a message to each follower, several times within the follower's
 	// heartbeat timeout.
 	heartbeatInterval = 300 * time.Millisecond
-	// staleReportInterval is how often a node whose view is stale says so to those that wait for it; freshCheckInterval is how
-	// often it looks whether the view is fresh again.
+	// staleReportInterval is how often a node whose view is stale says so to those that wait for it. In the first
+	// freshCheckPeriod it looks more often, each freshCheckInterval, whether the view is fresh again.
 	staleReportInterval = 100 * time.Millisecond
 	freshCheckInterval  = 20 * time.Millisecond
+	freshCheckPeriod    = 2 * time.Second
 	// firstMessageTimeout bounds the time until a relay's first message: a connection, and lists of some 100 KB.
 	firstMessageTimeout = 600 * time.Millisecond
 	// followerBuffer is how many updates may be queued for a slow follower before it is disconnected: all targets of a
@@ -94,6 +95,7 @@
 	check := time.NewTicker(freshCheckInterval)
 	defer check.Stop()
 	var reported time.Time
+	slowFrom := time.After(freshCheckPeriod)
 	for {
 		age := s.source.Staleness()
 		if age <= s.maxAge {
@@ -108,6 +110,8 @@
 		select {
 		case <-out.Context().Done():
 			return out.Context().Err()
+		case <-slowFrom:
+			check.Reset(staleReportInterval)
 		case <-check.C:
 		}
 	}
