--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -124,6 +124,21 @@
 	return min(maxStoreAge, max(minStoreAge, applyTime-readTime))
 }
 
+// joinGrace is the additional age that a relay's view may have when a follower joins it, and how long it may.
+const joinGrace = 500 * time.Millisecond
+
+// JoinGrace returns the additional age that the view of a relay may have that has been followed for a time.
+//
+// All followers of a lost relay come to the next one at the same moment. If its watch happens to be late, beside load, it is
+// fresh again within the grace, while all of them would otherwise turn to the store, each with a list and a watch of every
+// kind.
+func JoinGrace(followed time.Duration) time.Duration {
+	if followed < joinGrace {
+		return joinGrace
+	}
+	return 0
+}
+
 // Report is the last report of a relay and the time of its receipt.
 type Report struct {
 	ReceivedAt time.Time
--- a/internal/operator/gatewaynode/bootstrap_test.go
+++ b/internal/operator/gatewaynode/bootstrap_test.go
@@ -41,7 +41,7 @@
 		t.Fatal(err)
 	}
 	s := grpc.NewServer()
-	snapshot.Register(s, p, time.Second)
+	snapshot.Register(s, p)
 	go func() { _ = s.Serve(ln) }()
 	t.Cleanup(s.Stop)
 	return ln.Addr().String()
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -156,7 +156,7 @@
 	n.peerServer = grpc.NewServer()
 	dispatch.Register(n.peerServer, n.dispatcher)
 	permit.Register(n.peerServer, n.keeper)
-	snapshot.Register(n.peerServer, n.view, n.view.maxStoreAge())
+	snapshot.Register(n.peerServer, n.view)
 	go n.serve("nodes", func() error { return n.peerServer.Serve(peers) })
 	callers, err := listen(s.CallerAddress)
 	if err != nil {
@@ -287,8 +287,8 @@
 func (n *Node) register(ctx context.Context) {
 	s := n.cfg.Settings
 	self := registry.Node{Name: s.Name, Address: s.PeerAddress, Datacentre: s.Datacentre, StartedAt: n.view.startedAt, LinkMbps: s.LinkMbps}
-	for purpose := object.PurposeStart; ctx.Err() == nil; purpose = object.PurposeRestore {
-		n.writeEntry(object.WithPurpose(ctx, purpose), self)
+	for ctx.Err() == nil {
+		n.writeEntry(ctx, self)
 		// Another writer of the entry may not stop.
 		pause(ctx, registerRetry)
 		select {
@@ -318,7 +318,6 @@
 			continue
 		}
 		n.cfg.Log.WithError(err).Warn("node: writing the node's entry failed")
-		ctx = object.WithPurpose(ctx, object.PurposeRetry)
 		select {
 		case <-ctx.Done():
 		case <-time.After(registerRetry):
@@ -332,7 +331,7 @@
 	if own == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(object.WithPurpose(context.Background(), object.PurposeStop), deregisterTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
 	kind, name := n.cfg.Platform.NodeKind, n.cfg.Settings.Name
 	err := n.cfg.Store.Delete(ctx, kind, name, own.version)
--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -4,11 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/relay"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/snapshot"
 )
 
 const (
@@ -41,8 +47,6 @@
 	errHistoryLost = fmt.Errorf("another watch has lost its history: %w", object.ErrGone)
 	// errRelayStale ends the use of a relay that is unresponsive or has had no contact with the store for too long.
 	errRelayStale = merry.Sentinel("relay is stale")
-	// errNoLists ends the stream of a node that has sent its lists while its view was stale.
-	errNoLists = merry.Sentinel("the node's lists have not come with a fresh view")
 	// errSubstituteEnded ends the use of a substitute, so that the node's own relays, or the store, are tried again.
 	errSubstituteEnded = merry.Sentinel("the relay was a substitute")
 )
@@ -56,16 +60,12 @@
 	fromStart sourceMode = "start"
 	fromStore sourceMode = "store"
 	fromRelay sourceMode = "relay"
-	// fromReads is the mode of a node whose relays are not fresh and that has read the store once.
-	fromReads sourceMode = "reads"
 )
 
 // changeSource holds the mode of a node.
 type changeSource struct {
 	mu   sync.Mutex
 	mode sourceMode
-	// hasRelay is set once a node that has just started knows that it has a relay.
-	hasRelay bool
 	// changed is closed and replaced when the mode changes.
 	changed chan struct{}
 	// settled is closed settleTime after the start, nodesRead once the nodes' entries have been read after it; readOnce
@@ -88,20 +88,6 @@
 	return s.mode, s.changed
 }
 
-// recordHasRelay records that a node that has just started has a relay.
-func (s *changeSource) recordHasRelay() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.hasRelay = true
-}
-
-// canBeFollowed reports whether the node reads the changes that it has itself.
-func (s *changeSource) canBeFollowed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.mode != fromRelay && (s.mode != fromStart || !s.hasRelay)
-}
-
 // set changes the mode; it returns the former one.
 func (s *changeSource) set(mode sourceMode) (former sourceMode) {
 	s.mu.Lock()
@@ -164,41 +150,13 @@
 	// nodeKind is the kind that a node watches before it knows its relay.
 	nodeKind string
 	now      func() time.Time
-	// isUnavailable reports whether the store does not answer.
-	isUnavailable func() bool
-	// listPurpose is what the next list is for.
-	listPurpose object.Purpose
-}
-
-// List lists a kind of the store.
-func (s *pausingStore) List(ctx context.Context, kind, prefix string) (object.List, error) {
-	purpose := s.listPurpose
-	if s.isUnavailable() {
-		purpose = object.PurposeRetry
-	}
-	l, err := s.Store.List(object.WithPurpose(ctx, purpose), kind, prefix)
-	if err == nil {
-		// A list is repeated only if history was lost, unless Watch says otherwise.
-		s.listPurpose = object.PurposeRestore
-	}
-	return l, err
-}
-
-func (s *pausingStore) watchPurpose() object.Purpose {
-	if s.isUnavailable() {
-		return object.PurposeRetry
-	}
-	if mode, _ := s.source.state(); mode == fromStart {
-		return object.PurposeStart
-	}
-	return object.PurposeWatch
 }
 
 // Watch watches the store, or waits until the relay is lost.
 //
 // When all nodes of a fleet start, many objects change within a second, and most nodes are about to follow a relay, which
 // passes on what they miss. Until then only the nodes' entries are watched.
-func (s *pausingStore) Watch(ctx context.Context, kind string, version object.Version, handle func(object.Event)) error {
+func (s pausingStore) Watch(ctx context.Context, kind string, version object.Version, handle func(object.Event)) error {
 	mode, changed := s.source.state()
 	if mode == fromStart && kind != s.nodeKind {
 		select {
@@ -208,11 +166,10 @@
 			mode, _ = s.source.state()
 		}
 	}
-	if mode == fromRelay || mode == fromReads {
+	if mode == fromRelay {
 		if err := s.source.awaitMode(ctx, fromStore); err != nil {
 			return err
 		}
-		s.listPurpose = object.PurposeTakeOver
 		return errRelayLost
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -232,7 +189,7 @@
 			}
 		}()
 	}
-	err := s.Store.Watch(object.WithPurposeFunc(ctx, s.watchPurpose), kind, version, func(e object.Event) {
+	err := s.Store.Watch(ctx, kind, version, func(e object.Event) {
 		handle(e)
 		if kind == s.nodeKind && e.Type == object.Bookmark {
 			s.source.recordNodesRead()
@@ -249,3 +206,174 @@
 	}
 	return err
 }
+
+// followRelays follows a relay whenever there is a fresh one, and otherwise lets the node read the store.
+func (v *fleetView) followRelays(ctx context.Context) {
+	search := time.After(relayInitialDelay + rand.N(relayInitialDelay/4))
+	time.AfterFunc(settleTime, func() { close(v.source.settled) })
+	// A node that starts again finds the entries of all nodes; the others have to wait for them.
+	if !v.hasEarlierEntry(ctx) {
+		select {
+		case <-ctx.Done():
+		case <-v.source.nodesRead:
+		case <-time.After(roleTimeout):
+		}
+		// The entries that were read may still wait to be put in the registry.
+		v.setNodes()
+	}
+	if !v.hasRelay() {
+		v.source.set(fromStore)
+	}
+	select {
+	case <-ctx.Done():
+	case <-search:
+	}
+	for ctx.Err() == nil {
+		if v.followAnyRelay(ctx) {
+			continue
+		}
+		if v.source.set(fromStore) == fromRelay {
+			v.cfg.Log.Info("relay: none available, reading from the store")
+		}
+		// The delay is random, so that not all nodes of a lost relay reconnect to it at once.
+		pause(ctx, relayRetryInterval/2+rand.N(relayRetryInterval))
+	}
+}
+
+// followAnyRelay follows the first fresh relay, and then the next; it reports whether the first ones should be tried again
+// because the last one was a substitute for a relay.
+func (v *fleetView) followAnyRelay(ctx context.Context) (retry bool) {
+	for _, r := range v.relays() {
+		// The store may serve the next relay although it rejects this one.
+		err := v.followRelay(ctx, r)
+		v.cfg.Log.WithError(err).WithField("relay", r.Name).Info("relay: lost")
+		if errors.Is(err, errSubstituteEnded) {
+			return v.hasRelay()
+		}
+	}
+	return false
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// hasRelay reports whether the node has a relay when the store answers.
+func (v *fleetView) hasRelay() bool {
+	return len(relay.RelaysFor(v.cfg.Settings.Name, v.fleetNodes())) > 0
+}
+
+func (v *fleetView) fleetNodes() []registry.Node {
+	r := v.registry.Load()
+	var nodes []registry.Node
+	for _, name := range r.NodeNames() {
+		n, _ := r.Node(name)
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// relays returns the nodes that this node should follow, best first. A node that has no relay follows others only while the
+// store does not answer.
+func (v *fleetView) relays() []registry.Node {
+	nodes := v.fleetNodes()
+	if relays := relay.RelaysFor(v.cfg.Settings.Name, nodes); len(relays) > 0 || v.unavailableFor(v.cfg.Now()) < substituteDelay {
+		return relays
+	}
+	return relay.PeersFor(registry.Node{Name: v.cfg.Settings.Name, Datacentre: v.cfg.Settings.Datacentre}, nodes)
+}
+
+// isSubstitute reports whether a node is followed only until the node's own relays, or the store, are tried again.
+func (v *fleetView) isSubstitute(r registry.Node) bool {
+	return r.Datacentre != v.cfg.Settings.Datacentre || v.unavailableFor(v.cfg.Now()) > 0
+}
+
+// followRelay applies the updates of one relay until the stream ends or the relay is stale.
+func (v *fleetView) followRelay(ctx context.Context, r registry.Node) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if v.isSubstitute(r) {
+		retry := time.AfterFunc(substitutePeriod, func() { cancel(errSubstituteEnded) })
+		defer retry.Stop()
+	}
+	maxAge := relay.MaxStoreAge(min(v.cfg.Settings.DrainTime, v.cfg.Settings.ConfigTime))
+	joined := v.cfg.Now()
+	var mu sync.Mutex
+	var report relay.Report
+	followed := false
+	staleTimer := time.AfterFunc(time.Hour, func() {})
+	defer func() { staleTimer.Stop() }()
+	err := snapshot.Follow(ctx, r.Address, func(u snapshot.Update, age time.Duration) error {
+		now := v.cfg.Now()
+		mu.Lock()
+		report = relay.Report{ReceivedAt: now, StoreAge: age, MaxStoreAge: maxAge + relay.JoinGrace(now.Sub(joined))}
+		mu.Unlock()
+		if !report.Fresh(now) {
+			return errRelayStale
+		}
+		staleTimer.Stop()
+		staleTimer = time.AfterFunc(report.FreshFor(now), func() { cancel(errRelayStale) })
+		v.applyUpdate(u, now.Add(-age))
+		if u.Lists != nil && !followed {
+			followed = true
+			v.source.set(fromRelay)
+			v.cfg.Log.WithFields(logrus.Fields{"relay": r.Name, "age_ms": age.Milliseconds()}).Info("relay: followed")
+		}
+		return nil
+	})
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// applyUpdate applies an update of a relay that last heard from the store at contact.
+func (v *fleetView) applyUpdate(u snapshot.Update, contact time.Time) {
+	handlers := v.handlers()
+	for kind, l := range u.Lists {
+		v.recordContact(kind, contact)
+		if h, ok := handlers[kind]; ok {
+			v.mergeList(kind, l, h.replace)
+		}
+	}
+	for _, e := range u.Events {
+		if h, ok := handlers[e.Object.Kind]; ok {
+			v.applyRelayEvent(e.Object.Kind, e, h.apply)
+		}
+	}
+}
+
+// mergeList merges a relay's list with the node's own, which may be newer.
+func (v *fleetView) mergeList(kind string, l object.List, update func(object.List)) {
+	v.updateMu.Lock()
+	defer v.updateMu.Unlock()
+	v.mu.Lock()
+	own := v.cached[kind].list()
+	v.mu.Unlock()
+	l = relay.MergeLists(own, l)
+	v.unreadable.retain(kind, l)
+	v.restored = v.noteEra(kind, l)
+	v.cacheList(kind, v.compactedList(l))
+	update(l)
+}
+
+// applyRelayEvent applies a relay's event unless the node has a newer version of the object.
+func (v *fleetView) applyRelayEvent(kind string, e object.Event, update func(object.Event)) {
+	v.updateMu.Lock()
+	defer v.updateMu.Unlock()
+	v.mu.Lock()
+	var newer bool
+	if own := v.cached[kind]; own != nil {
+		o, ok := own.objects[e.Object.Name]
+		newer = (ok && o.Version > e.Object.Version) || own.version.Era() > e.Object.Version.Era()
+	}
+	v.mu.Unlock()
+	if newer {
+		return
+	}
+	v.cacheEvent(kind, object.Event{Type: e.Type, Object: v.compacted(e.Object)})
+	update(e)
+}
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -137,16 +137,8 @@
 }
 
 func (v *fleetView) runInformer(ctx context.Context, kind string, h kindHandler) {
-	store := &pausingStore{
-		Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind, now: v.cfg.Now, listPurpose: object.PurposeStart,
-		isUnavailable: func() bool {
-			v.mu.Lock()
-			defer v.mu.Unlock()
-			return v.isUnavailable(kind)
-		},
-	}
 	informer.New(informer.Config{
-		Store: store, Kind: kind,
+		Store: pausingStore{Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind, now: v.cfg.Now}, Kind: kind,
 		Replace:   func(l object.List) { v.replace(kind, l, h.replace) },
 		Apply:     func(e object.Event) { v.apply(kind, e, h.apply) },
 		OnContact: func() { v.recordContact(kind, v.cfg.Now()) },
@@ -254,10 +246,10 @@
 
 // Staleness returns the time since the store last answered for the configuration or for targets, whichever is longer.
 //
-// A node that follows another one, or is about to, cannot be followed: two nodes that follow each other would both wait for changes that
+// A node that follows another one cannot be followed: two nodes that follow each other would both wait for changes that
 // neither reads.
 func (v *fleetView) Staleness() time.Duration {
-	if !v.source.canBeFollowed() {
+	if mode, _ := v.source.state(); mode == fromRelay {
 		return followerStaleness
 	}
 	now := v.cfg.Now()
--- a/internal/wire/snapshot/follow.go
+++ b/internal/wire/snapshot/follow.go
@@ -17,11 +17,6 @@
 	// heartbeatInterval is how often a relay sends a message to each follower, several times within the follower's
 	// heartbeat timeout.
 	heartbeatInterval = 300 * time.Millisecond
-	// staleReportInterval is how often a node whose view is stale says so to those that wait for it. In the first
-	// freshCheckPeriod it looks more often, each freshCheckInterval, whether the view is fresh again.
-	staleReportInterval = 100 * time.Millisecond
-	freshCheckInterval  = 20 * time.Millisecond
-	freshCheckPeriod    = 2 * time.Second
 	// firstMessageTimeout bounds the time until a relay's first message: a connection, and lists of some 100 KB.
 	firstMessageTimeout = 600 * time.Millisecond
 	// followerBuffer is how many updates may be queued for a slow follower before it is disconnected: all targets of a
@@ -90,38 +85,8 @@
 	}
 }
 
-// awaitFresh tells a follower the age of this node's view until the view is fresh.
-func (s server) awaitFresh(out grpc.ServerStreamingServer[snapshotpb.Update]) error {
-	check := time.NewTicker(freshCheckInterval)
-	defer check.Stop()
-	var reported time.Time
-	slowFrom := time.After(freshCheckPeriod)
-	for {
-		age := s.source.Staleness()
-		if age <= s.maxAge {
-			return nil
-		}
-		if time.Since(reported) >= staleReportInterval {
-			if err := out.Send(&snapshotpb.Update{AgeUs: age.Microseconds()}); err != nil {
-				return err
-			}
-			reported = time.Now()
-		}
-		select {
-		case <-out.Context().Done():
-			return out.Context().Err()
-		case <-slowFrom:
-			check.Reset(staleReportInterval)
-		case <-check.C:
-		}
-	}
-}
-
-// Follow sends this node's lists as soon as its view is fresh, and then their changes.
+// Follow sends this node's lists and then their changes.
 func (s server) Follow(_ *snapshotpb.Request, out grpc.ServerStreamingServer[snapshotpb.Update]) error {
-	if err := s.awaitFresh(out); err != nil {
-		return err
-	}
 	lists, updates, unsubscribe := s.source.Subscribe()
 	defer unsubscribe()
 	if err := out.Send(&snapshotpb.Update{Lists: toLists(lists), AgeUs: s.source.Staleness().Microseconds()}); err != nil {
--- a/internal/wire/snapshot/snapshot.go
+++ b/internal/wire/snapshot/snapshot.go
@@ -33,12 +33,11 @@
 type server struct {
 	snapshotpb.UnimplementedSnapshotServer
 	source Source
-	maxAge time.Duration
 }
 
-// Register registers the snapshot service for other nodes; the view of source is stale above maxAge.
-func Register(s *grpc.Server, source Source, maxAge time.Duration) {
-	snapshotpb.RegisterSnapshotServer(s, server{source: source, maxAge: maxAge})
+// Register registers the snapshot service for other nodes.
+func Register(s *grpc.Server, source Source) {
+	snapshotpb.RegisterSnapshotServer(s, server{source: source})
 }
 
 // Read returns what this node has read.
