Bound what a node keeps of its former ledger holders

Change: rows that are older than any copy are dropped every minute, and a merge with nothing costs one pass over the rows.

The merge was not timed again.

Conclusion: memory is bound by 20 minutes of rows, as before after a restore.

--- a/internal/fleet/node/carries.go
+++ b/internal/fleet/node/carries.go
@@ -39,6 +39,19 @@
 	l.carries[shard] = l.carries[shard].Merge(l.node.cfg.Now(), h.Suspend())
 }
 
+// pruneCarries drops what is older than any copy that the platform may come back from.
+func (l *ledgers) pruneCarries(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for shard, c := range l.carries {
+		if c = c.Merge(now, ledger.Carry{}); len(c.Rows) > 0 {
+			l.carries[shard] = c
+			continue
+		}
+		delete(l.carries, shard)
+	}
+}
+
 // recoverRows asks every node that may have held a shard for what it knows, and returns an error unless all that the fleet does not count
 // as gone answer.
 func (l *ledgers) recoverRows(ctx context.Context, shard int, era uint64) ([]ledger.Carry, error) {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -178,6 +178,7 @@
 	n.spawn(func() { runEvery(ctx, heartbeat, n.reconcile) })
 	n.spawn(func() { runEvery(ctx, heartbeat, n.updateGauges) })
 	n.spawn(func() { runEvery(ctx, pruneInterval, n.pruneMembers) })
+	n.spawn(func() { runEvery(ctx, pruneInterval, func(context.Context) { n.ledgers.pruneCarries(n.cfg.Now()) }) })
 	n.log.Info("started")
 }
 
--- a/internal/serving/ledger/carry.go
+++ b/internal/serving/ledger/carry.go
@@ -24,15 +24,31 @@
 
 // Merge returns what two carries know together at now.
 func (c Carry) Merge(now time.Time, other Carry) Carry {
-	newest := map[string]Row{}
-	addNewer(newest, []Carry{c, other})
-	oldest := now.Add(-CarryWindow).UnixMilli()
-	maps.DeleteFunc(newest, func(_ string, r Row) bool { return r.ExpiresAtMs < oldest })
 	merged := Carry{Era: max(c.Era, other.Era), Generation: max(c.Generation, other.Generation)}
+	oldest := now.Add(-CarryWindow).UnixMilli()
+	c.Rows, other.Rows = recentRows(c.Rows, oldest), recentRows(other.Rows, oldest)
+	switch {
+	case len(other.Rows) == 0:
+		merged.Rows = c.Rows
+		return merged
+	case len(c.Rows) == 0:
+		merged.Rows = other.Rows
+		return merged
+	}
+	newest := make(map[string]Row, len(c.Rows)+len(other.Rows))
+	addNewer(newest, []Carry{c, other})
 	merged.Rows = slices.SortedFunc(maps.Values(newest), compareKeys)
 	return merged
 }
 
+// recentRows returns the rows of requests that were not over before a time in Unix milliseconds.
+func recentRows(rows []Row, oldestMs int64) []Row {
+	if !slices.ContainsFunc(rows, func(r Row) bool { return r.ExpiresAtMs < oldestMs }) {
+		return rows
+	}
+	return slices.DeleteFunc(slices.Clone(rows), func(r Row) bool { return r.ExpiresAtMs < oldestMs })
+}
+
 // Era returns the platform's era in which the holder has opened the shard.
 func (h *Holder) Era() uint64 { return h.era }
 
--- a/internal/serving/ledger/carry_test.go
+++ b/internal/serving/ledger/carry_test.go
@@ -42,10 +42,18 @@
 			b:    Carry{Generation: 1, Rows: []Row{row("recent", Settled, older, CarryWindow)}},
 			want: Carry{Generation: 1, Rows: []Row{row("recent", Settled, older, CarryWindow)}},
 		},
+		{
+			name: "all over for longer than any copy is old",
+			a:    Carry{Generation: 1, Rows: []Row{row("old", Settled, newer, CarryWindow+time.Second)}},
+			want: Carry{Generation: 1},
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			for _, got := range []Carry{tt.a.Merge(now, tt.b), tt.b.Merge(now, tt.a)} {
+				if len(got.Rows) == 0 {
+					got.Rows = nil
+				}
 				if !reflect.DeepEqual(got, tt.want) {
 					t.Errorf("got %+v, want %+v", got, tt.want)
 				}
