Free the inputs of a stage without pieces when its turn has come

Cause: such a stage ended without being counted as a reader, so its inputs stayed until the request had ended.

Change: it counts as one that has ended.

Measured: the package gateway passes; no test plays a stage without pieces that has inputs.

--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -166,6 +166,7 @@
 		return ctx.Err()
 	}
 	if group.Count == 0 {
+		g.freeResults(sr.markRead(i, true))
 		return nil
 	}
 	if len(group.Inputs) == 0 {
