Ask all nodes in the fairness test, ready or not

Cause: the list of nodes held those that were ready at one moment, and could be empty. Change: it holds all running nodes.

--- a/internal/bench/testbed/caller_test.go
+++ b/internal/bench/testbed/caller_test.go
@@ -172,7 +172,10 @@
 		s.Pools["letters"] = p
 	}})
 	// Nodes that are not ready for a moment are asked as well.
-	nodes := b.CallerAddresses()
+	var nodes []string
+	for _, n := range b.RunningNodes() {
+		nodes = append(nodes, n.Process.CallerAddress())
+	}
 	var calls sync.WaitGroup
 	for i := range 300 {
 		calls.Go(func() {
