--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -287,8 +287,8 @@
 func (n *Node) register(ctx context.Context) {
 	s := n.cfg.Settings
 	self := registry.Node{Name: s.Name, Address: s.PeerAddress, Datacentre: s.Datacentre, StartedAt: n.view.startedAt, LinkMbps: s.LinkMbps}
-	for ctx.Err() == nil {
-		n.writeEntry(ctx, self)
+	for purpose := object.PurposeStart; ctx.Err() == nil; purpose = object.PurposeRestore {
+		n.writeEntry(object.WithPurpose(ctx, purpose), self)
 		// Another writer of the entry may not stop.
 		pause(ctx, registerRetry)
 		select {
@@ -318,6 +318,7 @@
 			continue
 		}
 		n.cfg.Log.WithError(err).Warn("node: writing the node's entry failed")
+		ctx = object.WithPurpose(ctx, object.PurposeRetry)
 		select {
 		case <-ctx.Done():
 		case <-time.After(registerRetry):
@@ -331,7 +332,7 @@
 	if own == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
+	ctx, cancel := context.WithTimeout(object.WithPurpose(context.Background(), object.PurposeStop), deregisterTimeout)
 	defer cancel()
 	kind, name := n.cfg.Platform.NodeKind, n.cfg.Settings.Name
 	err := n.cfg.Store.Delete(ctx, kind, name, own.version)
--- a/internal/operator/gatewaynode/quarantine.go
+++ b/internal/operator/gatewaynode/quarantine.go
@@ -88,6 +88,7 @@
 // write writes the node's report until the store has it, or an operator has deleted it.
 func (c *crashReporter) write(ctx context.Context) {
 	cfg := c.node.cfg
+	ctx = object.WithPurpose(ctx, object.PurposeReport)
 	kind, name := cfg.Platform.NodeKind, cfg.Platform.CrashReportName(cfg.Settings.Name)
 	version := c.node.view.cachedVersion(kind, name)
 	for ctx.Err() == nil {
@@ -123,6 +124,7 @@
 // prune withdraws the node's own report once all of it has expired, and deletes those of nodes that are gone.
 func (c *crashReporter) prune(ctx context.Context, now time.Time) {
 	view, cfg := c.node.view, c.node.cfg
+	ctx = object.WithPurpose(ctx, object.PurposeReport)
 	live := view.registry.Load().NodeNames()
 	for _, node := range c.keeper.Board().Nodes() {
 		isExpired := c.keeper.Board().Report(node).Pruned(now).IsEmpty()
--- a/internal/operator/gatewaynode/shared_quarantine.go
+++ b/internal/operator/gatewaynode/shared_quarantine.go
@@ -105,7 +105,7 @@
 // put writes the shared state if the store has it at a version, and takes in what the store has then.
 func (s *sharedQuarantine) put(ctx context.Context, version object.Version, state quarantine.Shared) (isWritten bool, err error) {
 	cfg := s.node.cfg
-	o, err := cfg.Store.Put(ctx, cfg.Platform.NodeKind, cfg.Platform.QuarantineName, version, cfg.Platform.QuarantineEntry(state))
+	o, err := cfg.Store.Put(object.WithPurpose(ctx, object.PurposeReport), cfg.Platform.NodeKind, cfg.Platform.QuarantineName, version, cfg.Platform.QuarantineEntry(state))
 	var conflict *object.ConflictError
 	switch {
 	case err == nil:
--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -150,13 +150,41 @@
 	// nodeKind is the kind that a node watches before it knows its relay.
 	nodeKind string
 	now      func() time.Time
+	// isUnavailable reports whether the store does not answer.
+	isUnavailable func() bool
+	// listPurpose is what the next list is for.
+	listPurpose object.Purpose
+}
+
+// List lists a kind of the store.
+func (s *pausingStore) List(ctx context.Context, kind, prefix string) (object.List, error) {
+	purpose := s.listPurpose
+	if s.isUnavailable() {
+		purpose = object.PurposeRetry
+	}
+	l, err := s.Store.List(object.WithPurpose(ctx, purpose), kind, prefix)
+	if err == nil {
+		// A list is repeated only if history was lost, unless Watch says otherwise.
+		s.listPurpose = object.PurposeRestore
+	}
+	return l, err
+}
+
+func (s *pausingStore) watchPurpose() object.Purpose {
+	if s.isUnavailable() {
+		return object.PurposeRetry
+	}
+	if mode, _ := s.source.state(); mode == fromStart {
+		return object.PurposeStart
+	}
+	return object.PurposeWatch
 }
 
 // Watch watches the store, or waits until the relay is lost.
 //
 // When all nodes of a fleet start, many objects change within a second, and most nodes are about to follow a relay, which
 // passes on what they miss. Until then only the nodes' entries are watched.
-func (s pausingStore) Watch(ctx context.Context, kind string, version object.Version, handle func(object.Event)) error {
+func (s *pausingStore) Watch(ctx context.Context, kind string, version object.Version, handle func(object.Event)) error {
 	mode, changed := s.source.state()
 	if mode == fromStart && kind != s.nodeKind {
 		select {
@@ -170,6 +198,7 @@
 		if err := s.source.awaitMode(ctx, fromStore); err != nil {
 			return err
 		}
+		s.listPurpose = object.PurposeTakeOver
 		return errRelayLost
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -189,7 +218,7 @@
 			}
 		}()
 	}
-	err := s.Store.Watch(ctx, kind, version, func(e object.Event) {
+	err := s.Store.Watch(object.WithPurposeFunc(ctx, s.watchPurpose), kind, version, func(e object.Event) {
 		handle(e)
 		if kind == s.nodeKind && e.Type == object.Bookmark {
 			s.source.recordNodesRead()
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -137,8 +137,16 @@
 }
 
 func (v *fleetView) runInformer(ctx context.Context, kind string, h kindHandler) {
+	store := &pausingStore{
+		Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind, now: v.cfg.Now, listPurpose: object.PurposeStart,
+		isUnavailable: func() bool {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			return v.isUnavailable(kind)
+		},
+	}
 	informer.New(informer.Config{
-		Store: pausingStore{Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind, now: v.cfg.Now}, Kind: kind,
+		Store: store, Kind: kind,
 		Replace:   func(l object.List) { v.replace(kind, l, h.replace) },
 		Apply:     func(e object.Event) { v.apply(kind, e, h.apply) },
 		OnContact: func() { v.recordContact(kind, v.cfg.Now()) },
--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -126,8 +126,9 @@
 	m.scope.Tagged(map[string]string{"kind": kind, "change": change}).Counter("store_changes").Inc(1)
 }
 
-// CountStoreCall counts a call of the store by its operation, the kind of object and its result.
-func (m *Meter) CountStoreCall(operation, kind, result string) {
+// CountStoreCall counts a call of the store by its operation, the kind of object and its result, and by its purpose.
+func (m *Meter) CountStoreCall(operation, kind, result, purpose string) {
+	m.scope.Tagged(map[string]string{"purpose": purpose}).Counter("store_call_purposes").Inc(1)
 	m.scope.Tagged(map[string]string{"operation": operation, "kind": kind, "result": result}).Counter("store_calls").Inc(1)
 }
 
