Record a crash for all pieces of its call at once

Cause: the crash of a stage target was recorded for one group of its call after the other. A sound group that was beside a bad one in two calls had two crashes a moment before the bad one had its second, looked like the only suspect of both, and its waiting pieces were ended if the dispatcher looked just then.

Change: Keeper.RecordCrashes records a crash for all requests that a target ran together, in one change.

--- a/internal/fleet/quarantine/keeper.go
+++ b/internal/fleet/quarantine/keeper.go
@@ -183,14 +183,23 @@
 // RecordCrash records that a run of a target crashed while it ran a request; begun is set if it had begun its response and not yet
 // sent anything complete.
 func (k *Keeper) RecordCrash(now time.Time, run notice.Target, r Request, begun bool) {
-	d := r.digest()
+	k.RecordCrashes(now, run, []Request{r}, begun)
+}
+
+// RecordCrashes is RecordCrash for all requests that a target ran together. Until the last of them was recorded, one that was beside
+// another each time would look like the only suspect.
+func (k *Keeper) RecordCrashes(now time.Time, run notice.Target, list []Request, begun bool) {
 	k.change(now, Immediate, func(report Report) Report {
-		for _, t := range k.mostDoubtful(r.partTraits()) {
-			report = report.WithStrike(Strike{Trait: t, Run: run, At: now, Begun: begun, Known: k.parts.has(t)})
+		for _, r := range list {
+			for _, t := range k.mostDoubtful(r.partTraits()) {
+				report = report.WithStrike(Strike{Trait: t, Run: run, At: now, Begun: begun, Known: k.parts.has(t)})
+			}
+			d := r.digest()
+			content := d.contentTrait(r.Service, k.Key())
+			k.digests[content] = d
+			report = report.WithStrike(Strike{Trait: content, Run: run, At: now, Begun: begun, Known: k.requests.hasAt(now, r.hash(k.seed))})
 		}
-		content := d.contentTrait(r.Service, k.Key())
-		k.digests[content] = d
-		return report.WithStrike(Strike{Trait: content, Run: run, At: now, Begun: begun, Known: k.requests.hasAt(now, r.hash(k.seed))})
+		return report
 	})
 }
 
--- a/internal/fleet/quarantine/request_test.go
+++ b/internal/fleet/quarantine/request_test.go
@@ -146,6 +146,23 @@
 	}
 }
 
+// TestRequestsBesideEachOtherAreNeverSoleSuspects covers two requests that were at two targets together when these crashed, each alone
+// enough for a verdict: at no moment is there one.
+func TestRequestsBesideEachOtherAreNeverSoleSuspects(t *testing.T) {
+	var k *Keeper
+	k = NewKeeper(KeeperConfig{Node: "n-1", OnReport: func(Urgency) {}, OnEvidence: func() {
+		if got := k.Verdicts(start.Add(time.Second)); len(got) > 0 {
+			t.Errorf("got verdicts %v, want none", got)
+		}
+	}})
+	for i := range soleCrashes {
+		k.RecordCrashes(start.Add(time.Duration(i)*time.Second), runOf(i), []Request{plain("sound"), plain("bad")}, true)
+	}
+	if d, ok := k.Decide(start.Add(time.Second), plain("sound")).(SendAlone); !ok || d.Crashes != soleCrashes {
+		t.Errorf("got decision %+v, want the request sent alone after %d crashes", d, soleCrashes)
+	}
+}
+
 // TestAnswerClearsRequest covers an answer at one target while others crash under requests with the same content.
 func TestAnswerClearsRequest(t *testing.T) {
 	b := boardAfter(crash{requests: []string{"poll"}}, crash{at: time.Second, requests: []string{"poll"}})
--- a/internal/wire/dispatch/crash.go
+++ b/internal/wire/dispatch/crash.go
@@ -90,12 +90,14 @@
 		return
 	}
 	now := d.cfg.Now()
+	var suspects []quarantine.Request
 	var names []string
 	for _, g := range groupsOf(c) {
 		r := suspectOf(g)
-		d.cfg.Quarantine.RecordCrash(now, run, r, true)
+		suspects = append(suspects, r)
 		names = append(names, d.cfg.Quarantine.Name(r))
 	}
+	d.cfg.Quarantine.RecordCrashes(now, run, suspects, true)
 	d.cfg.Meter.CountCrash(c.Target.Service, crashProgress)
 	d.cfg.Log.WithFields(logrus.Fields{"service": c.Target.Service, "target": c.Target.ID, "started": run.StartedAt, "requests": c.Requests(), "fingerprints": names}).
 		Warn("desk: target crashed under a stage call")
