--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,8 @@
 
 // cases are the cases by name; each returns whether the rule was kept.
 var cases = map[string]func(*bed) (kept bool, err error){
-	"stop": playStop,
+	"stop":  playStop,
+	"leave": playLeave,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
