Review, case 3: four servers leave at cuts of the watches, in place of one

Cause: with one server, requests that came later than 3 s after the cut were rare, and only those stand if a cut is taken for a reset of a machine's connections. Change: eight cuts 5 s apart, a server leaves at each of the last four.

--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -9,16 +9,15 @@
 )
 
 const (
-	// cutInterval is the time between two cuts of the waiting watches, cutCount their number; the last one is at the moment at which
-	// the store accepts that a server leaves.
+	// cutInterval is the time between two cuts of the waiting watches.
 	cutInterval = 5 * time.Second
-	cutCount    = 5
-	// leaveTime is how long the server goes on serving after it has left.
-	leaveTime = 8 * time.Second
+	// cutsBefore cuts come before the first server leaves; each of the leaveCount servers leaves at the moment of a further one.
+	cutsBefore = 4
+	leaveCount = 4
 )
 
-// playLeave plays the leaving of a server that does not report that it drains, while the store now and then cuts off the watches that
-// are waiting.
+// playLeave plays the leaving of servers that do not report that they drain, while the store now and then cuts off the watches that
+// are waiting. The servers go on serving to the end.
 func playLeave(b *bed) (kept bool, err error) {
 	routes := []map[string]any{
 		{"name": "r-look", "host": host, "pathPrefix": "/wuhu344/", "type": "safe", "timeoutMs": 1000, "goalMs": 100, "priority": 2, "service": "wuno96b", "attempts": 2, "public": false, "sticky": false},
@@ -29,25 +28,29 @@
 		return false, err
 	}
 	var mu sync.Mutex
-	var leftAt time.Time
-	late, after := 0, 0
+	leftAt := map[string]time.Time{}
+	after, late, outOfTouch := 0, 0, 0
 	latest := time.Duration(0)
 	onArrival := func(s *server, id string, at time.Time) {
 		mu.Lock()
 		defer mu.Unlock()
-		if s.id != "i-1" || leftAt.IsZero() {
+		left, hasLeft := leftAt[s.id]
+		if !hasLeft {
 			return
 		}
 		after++
-		since := at.Sub(leftAt)
+		since := at.Sub(left)
 		latest = max(latest, since)
 		if since > drainTime {
 			late++
+			if since <= contactTime {
+				outOfTouch++
+			}
 			b.record.add("%s reaches %s %.3f s after the store accepted that it has left", id, s.id, since.Seconds())
 		}
 	}
-	for i, id := range []string{"i-1", "i-2", "i-3"} {
-		s := &server{id: id, service: "wuno96b", zone: []string{"maipo", "mapocho", "quilicura"}[i], work: answerAfter(15 * time.Millisecond), onArrival: onArrival}
+	for i, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"} {
+		s := &server{id: id, service: "wuno96b", zone: zones[i], work: answerAfter(15 * time.Millisecond), onArrival: onArrival}
 		if err := b.addServer(s); err != nil {
 			return false, err
 		}
@@ -84,21 +87,22 @@
 		})
 	}
 	time.Sleep(contactTime)
-	for i := range cutCount {
+	for i := range cutsBefore + leaveCount {
 		time.Sleep(cutInterval)
-		switch {
-		case i == cutCount-1:
-		case b.hasTrouble:
-			b.record.add("the store cuts off the watches that are waiting")
-			b.store.cutWatches()
+		if i < cutsBefore {
+			if b.hasTrouble {
+				b.record.add("the store cuts off the watches that are waiting")
+				b.store.cutWatches()
+			}
+			continue
 		}
+		leaving := b.servers[i-cutsBefore]
+		mu.Lock()
+		leftAt[leaving.id] = leaving.leave(b.hasTrouble)
+		mu.Unlock()
+		b.record.add("the store accepts that %s has left; watches cut off: %t", leaving.id, b.hasTrouble)
 	}
-	leaving := b.servers[0]
-	mu.Lock()
-	leftAt = leaving.leave(b.hasTrouble)
-	mu.Unlock()
-	b.record.add("the store accepts that %s has left; watches cut off: %t", leaving.id, b.hasTrouble)
-	time.Sleep(leaveTime)
+	time.Sleep(cutInterval)
 	close(stop)
 	clients.Wait()
 	mu.Lock()
@@ -106,6 +110,7 @@
 	for what, n := range counts {
 		b.record.add("requests with %s: %d", what, n)
 	}
-	b.record.summary("requests at the server after it had left %d, the last one %.3f s after that; later than %.1f s: %d", after, latest.Seconds(), drainTime.Seconds(), late)
+	b.record.summary("requests at servers that had left: %d, the last one %.3f s after that; later than %.1f s: %d, %d of them in the %.1f s after a cut",
+		after, latest.Seconds(), drainTime.Seconds(), late, outOfTouch, contactTime.Seconds())
 	return late == 0, nil
 }
