--- a/cmd/lacewingdrift/platform.go
+++ b/cmd/lacewingdrift/platform.go
@@ -53,6 +53,7 @@
 			ConfigName: platform.ConfigName, ParseTable: platform.ParseTable, ParseTarget: platform.ParseTarget, ParseNode: platform.ParseNode, NodeEntry: platform.NodeEntry,
 			CrashReportName: platform.CrashReportName, CrashReportNode: platform.CrashReportNode, ParseCrashReport: platform.ParseCrashReport, CrashReport: platform.CrashReport,
 			QuarantineName: platform.QuarantineName, ParseQuarantine: platform.ParseQuarantine, QuarantineEntry: platform.QuarantineEntry,
+			RolloutKind: platform.KindRollouts, ParseRollout: platform.ParseRollout, RolloutStatus: platform.RolloutStatus,
 		},
 		Store:       platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, OnCall: meter.CountStoreCall}),
 		Meter:       meter,
--- a/internal/bench/testbed/platformlink.go
+++ b/internal/bench/testbed/platformlink.go
@@ -104,6 +104,19 @@
 	return l.store.Put(ctx, kind, name, version, value)
 }
 
+// PutStatus writes the status of an object by conditional update.
+func (l *PlatformLink) PutStatus(ctx context.Context, kind, name string, version object.Version, value any) (object.Object, error) {
+	ctx, cancel, err := l.begin(ctx)
+	if err != nil {
+		return object.Object{}, err
+	}
+	defer cancel()
+	if l.refusedKind.Load() == kind {
+		return object.Object{}, errRefused
+	}
+	return l.store.PutStatus(ctx, kind, name, version, value)
+}
+
 // Delete removes an object by conditional update.
 func (l *PlatformLink) Delete(ctx context.Context, kind, name string, version object.Version) error {
 	ctx, cancel, err := l.begin(ctx)
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -28,6 +28,8 @@
 	Datacentre string
 	State      State
 	Slots      int
+	// Software is the version of the service that the target runs, "" if it does not tell.
+	Software string
 	// StartedAt is the start time of the target as reported by it.
 	StartedAt int64
 	// Beat rises each time that the target writes its entry in one run, 0 if it does not tell.
--- /dev/null
+++ b/internal/fleet/rollout/doc.go
@@ -0,0 +1,2 @@
+// Package rollout decides which version of a service gets its requests while an operator moves it to a new one.
+package rollout
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/validation"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/quarantine"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/rollout"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/metrics"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/informer"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
@@ -58,6 +59,11 @@
 	// ParseQuarantine parses that object; QuarantineEntry returns the one to write.
 	ParseQuarantine func(o object.Object) (quarantine.Shared, error)
 	QuarantineEntry func(s quarantine.Shared) any
+	// RolloutKind is the kind of the operators' orders of rollouts, whose objects have the names of their services.
+	RolloutKind string
+	// ParseRollout parses an order and its status; RolloutStatus returns the status to write.
+	ParseRollout  func(o object.Object) (rollout.Order, rollout.Status, error)
+	RolloutStatus func(s rollout.Status) any
 }
 
 // fleetView is a node's current view of the configuration and the fleet.
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -32,6 +32,17 @@
 	GracePeriod time.Duration
 	RetryBudget RetryBudget
 	ColdLimit   ColdLimit
+	// Rollout is zero where the deployment has no rollouts.
+	Rollout Rollout
+}
+
+// Rollout limits what a bad version of a service may cost while it replaces another one.
+type Rollout struct {
+	// Share and Slack limit the requests to a bad version over all nodes: the share of all requests to the service, plus Slack.
+	Share float64
+	Slack int
+	// Rollback is the time after the 50th bad response of a version within which no more requests are sent to it.
+	Rollback time.Duration
 }
 
 // RetryBudget limits the retries to a service over all nodes: the sends beyond the first of each request.
--- a/internal/platform/object/client.go
+++ b/internal/platform/object/client.go
@@ -114,22 +114,40 @@
 
 // Put writes value if the object still has the given version.
 func (c *Client) Put(ctx context.Context, kind, name string, version Version, value any) (Object, error) {
-	body, err := json.Marshal(value)
+	return c.write(ctx, write{operation: "put", kind: kind, name: name, version: version, value: value})
+}
+
+// PutStatus writes the status of an object if it still has the given version.
+func (c *Client) PutStatus(ctx context.Context, kind, name string, version Version, value any) (Object, error) {
+	return c.write(ctx, write{operation: "put status of", kind: kind, name: name, path: "/status", version: version, value: value})
+}
+
+// write is a conditional write of a part of an object.
+type write struct {
+	operation, kind, name string
+	// path names the part within the object, "" for its value.
+	path    string
+	version Version
+	value   any
+}
+
+func (c *Client) write(ctx context.Context, w write) (Object, error) {
+	body, err := json.Marshal(w.value)
 	if err != nil {
-		return Object{}, merry.Prependf(err, "put %s/%s", kind, name)
+		return Object{}, merry.Prependf(err, "%s %s/%s", w.operation, w.kind, w.name)
 	}
 	if len(body) > maxValueBytes {
-		return Object{}, merry.Errorf("put %s/%s: value of %d bytes is over %d", kind, name, len(body), maxValueBytes)
+		return Object{}, merry.Errorf("%s %s/%s: value of %d bytes is over %d", w.operation, w.kind, w.name, len(body), maxValueBytes)
 	}
-	if err := c.checkCondition(ctx, kind, name, version); err != nil {
+	if err := c.checkCondition(ctx, w.kind, w.name, w.version); err != nil {
 		return Object{}, err
 	}
-	endpoint := fmt.Sprintf("%s?version=%d", c.objectURL(kind, name), version.Revision())
+	endpoint := fmt.Sprintf("%s%s?version=%d", c.objectURL(w.kind, w.name), w.path, w.version.Revision())
 	r, err := c.call(ctx, http.MethodPut, endpoint, body, 2*maxValueBytes)
 	if err == nil {
-		err = CheckAnswer(version, r.era)
+		err = CheckAnswer(w.version, r.era)
 	}
-	return decodeObject("put", kind, name, r, err)
+	return decodeObject(w.operation, w.kind, w.name, r, err)
 }
 
 // Delete removes the object if it still has the given version.
--- a/internal/platform/object/object.go
+++ b/internal/platform/object/object.go
@@ -13,6 +13,11 @@
 	Name    string          `json:"name"`
 	Version Version         `json:"version"`
 	Value   json.RawMessage `json:"value,omitempty"`
+	// Status is what the system reports of the object, which is written apart from its value.
+	Status json.RawMessage `json:"status,omitempty"`
+	// Created is the revision at which the object was created, 0 if the platform does not tell; it differs for an object that was
+	// removed and created again.
+	Created uint64 `json:"created,omitempty"`
 }
 
 // List holds all objects of a kind at one version of the store.
@@ -62,6 +67,9 @@
 	// Put writes value if the object still has version, where 0 means that it must not exist; the error is a
 	// *ConflictError otherwise.
 	Put(ctx context.Context, kind, name string, version Version, value any) (Object, error)
+	// PutStatus writes the status of an object if it still has version, and leaves its value as it is; the error is a *ConflictError
+	// if it has another version, ErrNotFound if there is no object.
+	PutStatus(ctx context.Context, kind, name string, version Version, value any) (Object, error)
 	// Delete removes the object if it still has version; the error is a *ConflictError otherwise.
 	Delete(ctx context.Context, kind, name string, version Version) error
 	// Watch calls handle for each event after version until it fails; the error is ErrGone if version is too old.
--- a/internal/platform/object/parse.go
+++ b/internal/platform/object/parse.go
@@ -12,7 +12,7 @@
 	return err
 }
 
-// parseObject parses an object. Its value, which any writer may have put, is not read.
+// parseObject parses an object. Its value and status, which any writer may have put, are not read.
 func parseObject(era uint64, data []byte) (Object, error) {
 	o := Object{Version: NewVersion(era, 0)}
 	err := ReadFields(data, func(f Field) error {
@@ -26,6 +26,10 @@
 		case "value":
 			// The copy does not keep the rest of a list in memory.
 			o.Value = bytes.Clone(f.Value)
+		case "status":
+			o.Status = bytes.Clone(f.Value)
+		case "created":
+			return json.Unmarshal(f.Value, &o.Created)
 		}
 		return nil
 	})
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -18,7 +18,8 @@
 	m := http.NewServeMux()
 	writeResult := s.writeResult
 	m.HandleFunc("GET /v1/objects/{kind}/{name}", s.get)
-	m.HandleFunc("PUT /v1/objects/{kind}/{name}", s.update)
+	m.HandleFunc("PUT /v1/objects/{kind}/{name}", s.updateBy(s.Put))
+	m.HandleFunc("PUT /v1/objects/{kind}/{name}/status", s.updateBy(s.PutStatus))
 	m.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.remove)
 	m.HandleFunc("GET /v1/objects/{kind}", s.list)
 	m.HandleFunc("GET /v1/watch/{kind}", s.watch)
@@ -81,18 +82,21 @@
 	s.writeResult(w, o, err)
 }
 
-func (s *Store) update(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-		return
-	}
-	o, err := s.Put(r.Context(), r.PathValue("kind"), r.PathValue("name"), versionParam(r, "version"), json.RawMessage(body))
-	if errors.Is(err, errResponseLost) {
-		// The caller sees its connection close without a response.
-		panic(http.ErrAbortHandler)
+// updateBy returns the handler of a conditional write.
+func (s *Store) updateBy(put putFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+			return
+		}
+		o, err := put(r.Context(), r.PathValue("kind"), r.PathValue("name"), versionParam(r, "version"), json.RawMessage(body))
+		if errors.Is(err, errResponseLost) {
+			// The caller sees its connection close without a response.
+			panic(http.ErrAbortHandler)
+		}
+		s.writeResult(w, o, err)
 	}
-	s.writeResult(w, o, err)
 }
 
 func (s *Store) remove(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/store/restore.go
+++ b/internal/standin/store/restore.go
@@ -112,10 +112,22 @@
 
 // Put writes value if the object still has the given version.
 func (c *Session) Put(ctx context.Context, kind, name string, version object.Version, value any) (object.Object, error) {
+	return c.write(ctx, kind, name, version, value, c.Store.Put)
+}
+
+// PutStatus writes the status of an object if it still has the given version.
+func (c *Session) PutStatus(ctx context.Context, kind, name string, version object.Version, value any) (object.Object, error) {
+	return c.write(ctx, kind, name, version, value, c.Store.PutStatus)
+}
+
+// putFunc is a conditional write of a part of an object.
+type putFunc func(ctx context.Context, kind, name string, version object.Version, value any) (object.Object, error)
+
+func (c *Session) write(ctx context.Context, kind, name string, version object.Version, value any, put putFunc) (object.Object, error) {
 	if err := c.checkCondition(ctx, kind, name, version); err != nil {
 		return object.Object{}, err
 	}
-	o, err := c.Store.Put(ctx, kind, name, version, value)
+	o, err := put(ctx, kind, name, version, value)
 	var conflict *object.ConflictError
 	answer := o.Version
 	if errors.As(err, &conflict) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -94,6 +94,15 @@
 
 // Put writes value if the object still has the given version.
 func (s *Store) Put(ctx context.Context, kind, name string, version object.Version, value any) (object.Object, error) {
+	return s.write(ctx, kind, value, func(data []byte) (object.Object, error) { return s.put(kind, name, version, data) })
+}
+
+// PutStatus writes the status of an object if it still has the given version.
+func (s *Store) PutStatus(ctx context.Context, kind, name string, version object.Version, value any) (object.Object, error) {
+	return s.write(ctx, kind, value, func(data []byte) (object.Object, error) { return s.putStatus(kind, name, version, data) })
+}
+
+func (s *Store) write(ctx context.Context, kind string, value any, put func(data []byte) (object.Object, error)) (object.Object, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		return object.Object{}, err
@@ -101,13 +110,30 @@
 	if err := s.beginCall(ctx, func(c *Counts) { c.Writes++ }); err != nil {
 		return object.Object{}, err
 	}
-	o, err := s.put(kind, name, version, data)
+	o, err := put(data)
 	if err == nil && s.consumeLostResponse(kind) {
 		return object.Object{}, errResponseLost
 	}
 	return o, err
 }
 
+func (s *Store) putStatus(kind, name string, version object.Version, data []byte) (object.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, ok := s.objects[kind][name]
+	if !ok {
+		return object.Object{}, object.ErrNotFound
+	}
+	if current.Version.Revision() != version.Revision() {
+		return object.Object{}, &object.ConflictError{Current: s.inEra(current)}
+	}
+	s.version++
+	current.Version, current.Status = s.version, data
+	s.objects[kind][name] = current
+	s.record(object.Event{Type: object.Put, Object: current})
+	return current, nil
+}
+
 func (s *Store) put(kind, name string, version object.Version, data []byte) (object.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,7 +146,10 @@
 		return object.Object{}, object.ErrNotFound
 	}
 	s.version++
-	o := object.Object{Kind: kind, Name: name, Version: s.version, Value: data}
+	o := object.Object{Kind: kind, Name: name, Version: s.version, Value: data, Status: current.Status, Created: current.Created}
+	if !ok {
+		o.Created = s.version.Revision()
+	}
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]object.Object{}
 	}
@@ -146,7 +175,7 @@
 	delete(s.objects[kind], name)
 	s.version++
 	current.Version = s.version
-	current.Value = nil
+	current.Value, current.Status = nil, nil
 	s.record(object.Event{Type: object.Delete, Object: current})
 	return nil
 }
--- a/internal/wire/snapshot/follow.go
+++ b/internal/wire/snapshot/follow.go
@@ -147,10 +147,7 @@
 	}
 	m := &snapshotpb.Update{}
 	for _, e := range u.Events {
-		o := e.Object
-		m.Events = append(m.Events, &snapshotpb.Event{
-			Kind: o.Kind, Deleted: e.Type == object.Delete, Object: &snapshotpb.Object{Name: o.Name, Version: uint64(o.Version), Value: o.Value},
-		})
+		m.Events = append(m.Events, &snapshotpb.Event{Kind: e.Object.Kind, Deleted: e.Type == object.Delete, Object: toObject(e.Object)})
 	}
 	return m
 }
@@ -191,7 +188,7 @@
 		if e.Object == nil {
 			continue
 		}
-		event := object.Event{Type: object.Put, Object: object.Object{Kind: e.Kind, Name: e.Object.Name, Version: object.Version(e.Object.Version), Value: e.Object.Value}}
+		event := object.Event{Type: object.Put, Object: fromObject(e.Kind, e.Object)}
 		if e.Deleted {
 			event.Type = object.Delete
 		}
--- a/internal/wire/snapshot/snapshot.go
+++ b/internal/wire/snapshot/snapshot.go
@@ -50,13 +50,21 @@
 	for kind, l := range lists {
 		m := &snapshotpb.List{Kind: kind, Version: uint64(l.Version)}
 		for _, o := range l.Items {
-			m.Objects = append(m.Objects, &snapshotpb.Object{Name: o.Name, Version: uint64(o.Version), Value: o.Value})
+			m.Objects = append(m.Objects, toObject(o))
 		}
 		out.Lists = append(out.Lists, m)
 	}
 	return out
 }
 
+func toObject(o object.Object) *snapshotpb.Object {
+	return &snapshotpb.Object{Name: o.Name, Version: uint64(o.Version), Value: o.Value, Status: o.Status, Created: o.Created}
+}
+
+func fromObject(kind string, o *snapshotpb.Object) object.Object {
+	return object.Object{Kind: kind, Name: o.Name, Version: object.Version(o.Version), Value: o.Value, Status: o.Status, Created: o.Created}
+}
+
 // Read requests the snapshot of the node at an address.
 func Read(ctx context.Context, address string) (map[string]object.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -78,7 +86,7 @@
 	for _, l := range m.Lists {
 		list := object.List{Version: object.Version(l.Version)}
 		for _, o := range l.Objects {
-			list.Items = append(list.Items, object.Object{Kind: l.Kind, Name: o.Name, Version: object.Version(o.Version), Value: o.Value})
+			list.Items = append(list.Items, fromObject(l.Kind, o))
 		}
 		lists[l.Kind] = list
 	}
