--- /dev/null
+++ b/internal/fleet/rollout/collect.go
@@ -0,0 +1,150 @@
+package rollout
+
+import (
+	"time"
+)
+
+// judgeInterval bounds how often the evidence of a rollout is added up.
+const judgeInterval = 200 * time.Millisecond
+
+// mark is a sum as it was at a time.
+type mark struct {
+	at  time.Time
+	sum Sum
+}
+
+// marks are the sums of the latest CompareWindow, oldest first.
+type marks struct{ list []mark }
+
+// earlier returns the sum of about CompareWindow ago, after adding the present one.
+func (m *marks) earlier(now time.Time, s Sum) Sum {
+	m.list = append(m.list, mark{now, s})
+	for len(m.list) > 1 && now.Sub(m.list[1].at) >= CompareWindow {
+		m.list = m.list[1:]
+	}
+	return m.list[0].sum
+}
+
+func (m *marks) isDue(now time.Time) bool {
+	return len(m.list) == 0 || now.Sub(m.list[len(m.list)-1].at) >= judgeInterval
+}
+
+// Reply is what a node that collects the evidence answers to a report.
+type Reply struct {
+	// IsKnown is set if the node knows the order too.
+	IsKnown bool
+	Elapsed time.Duration
+	// Bad is the node's verdict, nil if there is none.
+	Bad *Bad
+}
+
+// Rollouts lists the rollouts without a final state.
+func (k *Keeper) Rollouts() []Progress {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []Progress
+	for _, t := range k.rollouts {
+		if !t.progress.State.IsFinal() {
+			list = append(list, t.progress)
+		}
+	}
+	return list
+}
+
+// Report returns this node's report on the rollout of a service at now, and whether a response has failed at the new version since the
+// last one.
+func (k *Keeper) Report(now time.Time, service string) (r Report, isUrgent, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := k.rollouts[service]
+	if t == nil {
+		return Report{}, false, false
+	}
+	return k.report(now, t), t.hasNews, true
+}
+
+func (k *Keeper) report(now time.Time, t *tracked) Report {
+	return Report{
+		Node: k.cfg.Self, StartedAt: k.cfg.StartedAt, Order: t.progress.Order, Elapsed: now.Sub(t.progress.Began),
+		IsShifted: t.progress.Step(now) == Shifted, OldRunning: k.oldRunning(t.progress.Order), Sum: t.own,
+	}
+}
+
+// Sent records that the reports of this node have been sent.
+func (k *Keeper) Sent(service string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if t := k.rollouts[service]; t != nil {
+		t.hasNews = false
+	}
+}
+
+// Receive takes in a node's report that arrives at now.
+func (k *Keeper) Receive(now time.Time, r Report) Reply {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := k.rollouts[r.Order.Service]
+	if t == nil || !t.progress.Order.Is(r.Order) {
+		return Reply{}
+	}
+	t.evidence = t.evidence.With(now, r)
+	t.progress = t.progress.WithHeard(now, r.Elapsed)
+	k.judge(now, t)
+	return Reply{IsKnown: true, Elapsed: now.Sub(t.progress.Began), Bad: t.progress.Bad}
+}
+
+// judge compares the versions by what the fleet has reported.
+func (k *Keeper) judge(now time.Time, t *tracked) {
+	if t.progress.Bad != nil || t.progress.State.IsFinal() || !t.fleet.isDue(now) {
+		return
+	}
+	sum := t.evidence.Sum()
+	t.progress = t.progress.WithVerdict(now, Judge(sum, t.fleet.earlier(now, sum)))
+}
+
+// Learn takes in another node's reply to a report of this node.
+func (k *Keeper) Learn(now time.Time, o Order, r Reply) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := k.rollouts[o.Service]
+	if t == nil || !t.progress.Order.Is(o) || !r.IsKnown {
+		return
+	}
+	t.progress = t.progress.WithHeard(now, r.Elapsed)
+	if r.Bad != nil {
+		t.progress = t.progress.WithVerdict(now, *r.Bad)
+	}
+}
+
+// Decide judges by this node's own responses, and returns the progress of the rollout of a service and what to do about its stored state.
+// rank is the node's place among those that collect the evidence, nodes are all nodes.
+func (k *Keeper) Decide(now time.Time, service string, rank int, nodes []string) (Progress, Situation, Action) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := k.rollouts[service]
+	if t == nil {
+		return Progress{}, Situation{}, Keep{}
+	}
+	if t.progress.Bad == nil && !t.progress.State.IsFinal() && t.local.isDue(now) {
+		t.progress = t.progress.WithVerdict(now, Judge(t.own, t.local.earlier(now, t.own)))
+	}
+	s := Situation{Rank: rank, HasEvidence: t.evidence.covers(now, nodes), IsDrained: t.evidence.IsDrained(now, nodes), Sum: t.evidence.Sum()}
+	return t.progress, s, t.progress.Next(now, s)
+}
+
+// covers reports whether more than half of the nodes have reported in the latest reportLifetime.
+func (e Evidence) covers(now time.Time, nodes []string) bool {
+	heard := map[string]bool{}
+	for k, h := range e.reports {
+		if now.Sub(h.at) <= reportLifetime {
+			heard[k.node] = true
+		}
+	}
+	n := 0
+	for _, name := range nodes {
+		if heard[name] {
+			n++
+		}
+	}
+	return 2*n > len(nodes)
+}
--- a/internal/fleet/rollout/doc.go
+++ b/internal/fleet/rollout/doc.go
@@ -1,2 +1,3 @@
-// Package rollout decides which version of a service gets its requests while an operator moves it to a new one.
+// Package rollout decides how the traffic of a service moves to a new version: which share of the requests tries it, whether
+// its responses speak against it, and when the rollout is completed or rolled back.
 package rollout
--- /dev/null
+++ b/internal/fleet/rollout/keeper.go
@@ -0,0 +1,342 @@
+package rollout
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
+)
+
+// warmUp is how long the response times of a target that has started say nothing of its version.
+const warmUp = 5 * time.Second
+
+// KeeperConfig holds the settings of a Keeper.
+type KeeperConfig struct {
+	// Self is the name of this node, StartedAt its start time in Unix milliseconds.
+	Self      string
+	StartedAt int64
+	Limits    Limits
+}
+
+// Keeper holds what a node knows of the rollouts of all services. It is safe for concurrent use.
+type Keeper struct {
+	cfg KeeperConfig
+	// watched is the number of services with a rollout or a withdrawn version; requests of other services pass unchanged.
+	watched atomic.Int32
+
+	mu       sync.Mutex
+	rollouts map[string]*tracked
+	// withdrawn holds, by service, the versions of orders that ended without being completed. Their targets leave some time later.
+	withdrawn map[string]map[string]bool
+	// running is the number of this node's requests by service and version.
+	running map[string]map[string]int
+}
+
+// tracked is one rollout.
+type tracked struct {
+	progress Progress
+	own      Sum
+	evidence Evidence
+	// fleet and local are the earlier sums to compare with, of the whole fleet and of this node.
+	fleet, local marks
+	// hasNews is set if a request has failed at the new version since the last report.
+	hasNews bool
+}
+
+// NewKeeper returns a keeper without rollouts.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	return &Keeper{cfg: cfg, rollouts: map[string]*tracked{}, withdrawn: map[string]map[string]bool{}, running: map[string]map[string]int{}}
+}
+
+// IsEnabled reports whether the deployment has rollouts at all.
+func (k *Keeper) IsEnabled() bool { return k != nil && k.cfg.Limits.Share > 0 }
+
+// SetOrder takes in an order and its stored status at now. It returns the progress and whether the order or its state is new.
+func (k *Keeper) SetOrder(now time.Time, o Order, s Status) (Progress, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	state := s.State
+	if s.Version != o.Version {
+		// The status is that of an earlier order under the same name.
+		state = ""
+	}
+	t := k.rollouts[o.Service]
+	isNew := t == nil || !t.progress.Order.Is(o)
+	if isNew {
+		if t != nil {
+			k.withdraw(t.progress)
+		}
+		began := s.Began
+		if state == "" {
+			began = time.Time{}
+		}
+		t = &tracked{progress: NewProgress(now, o, began), evidence: NewEvidence(o)}
+		k.rollouts[o.Service] = t
+		delete(k.withdrawn[o.Service], o.Version)
+	}
+	before := t.progress.State
+	t.progress = t.progress.WithState(state)
+	t.progress.Order.Duration = o.Duration
+	k.count()
+	return t.progress, isNew || before != t.progress.State
+}
+
+// RemoveOrder ends the rollout of a service. Unless it was completed, nothing more goes to its version.
+func (k *Keeper) RemoveOrder(service string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if t := k.rollouts[service]; t != nil {
+		k.withdraw(t.progress)
+		delete(k.rollouts, service)
+	}
+	k.count()
+}
+
+// RetainOrders ends the rollouts of all other services.
+func (k *Keeper) RetainOrders(services map[string]bool) {
+	for _, s := range k.services() {
+		if !services[s] {
+			k.RemoveOrder(s)
+		}
+	}
+}
+
+func (k *Keeper) services() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []string
+	for s := range k.rollouts {
+		list = append(list, s)
+	}
+	return list
+}
+
+func (k *Keeper) withdraw(p Progress) {
+	if p.State == Completed {
+		return
+	}
+	if k.withdrawn[p.Order.Service] == nil {
+		k.withdrawn[p.Order.Service] = map[string]bool{}
+	}
+	k.withdrawn[p.Order.Service][p.Order.Version] = true
+}
+
+func (k *Keeper) count() {
+	n := len(k.rollouts)
+	for _, versions := range k.withdrawn {
+		if len(versions) > 0 {
+			n++
+		}
+	}
+	k.watched.Store(int32(n))
+}
+
+// ForgetGone forgets the withdrawn versions that no target has any more.
+func (k *Keeper) ForgetGone(r *registry.Registry) {
+	if k.watched.Load() == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for service, versions := range k.withdrawn {
+		alive := map[string]bool{}
+		for _, t := range r.Usable(service) {
+			alive[t.Software] = true
+		}
+		for v := range versions {
+			if !alive[v] {
+				delete(versions, v)
+			}
+		}
+		if len(versions) == 0 {
+			delete(k.withdrawn, service)
+		}
+	}
+	k.count()
+}
+
+// Lists returns the targets of a service to which the next n requests may be sent, in lists to be tried one after the other.
+func (k *Keeper) Lists(now time.Time, service string, targets []registry.Target, n int, isRetry bool) [][]registry.Target {
+	if k == nil || k.watched.Load() == 0 {
+		return [][]registry.Target{targets}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	targets = k.permitted(service, targets)
+	t := k.rollouts[service]
+	if t == nil {
+		return [][]registry.Target{targets}
+	}
+	k.advance(now, t, targets)
+	choice := t.progress.Choose(now, k.cfg.Limits, t.own, n)
+	if isRetry && choice == CanariesFirst {
+		choice = OldOnly
+	}
+	first := t.progress.Order.Targets(choice, targets, k.cfg.Limits)
+	if choice == CanariesFirst || choice == NewFirst {
+		return [][]registry.Target{first, t.progress.Order.Targets(OldOnly, targets, k.cfg.Limits)}
+	}
+	return [][]registry.Target{first}
+}
+
+// permitted leaves out the targets of withdrawn versions.
+func (k *Keeper) permitted(service string, targets []registry.Target) []registry.Target {
+	versions := k.withdrawn[service]
+	if len(versions) == 0 {
+		return targets
+	}
+	list := make([]registry.Target, 0, len(targets))
+	for _, t := range targets {
+		if !versions[t.Software] {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+func (k *Keeper) advance(now time.Time, t *tracked, targets []registry.Target) {
+	hasTargets := false
+	for _, x := range targets {
+		hasTargets = hasTargets || (x.Software == t.progress.Order.Version && !x.Cold(now))
+	}
+	t.progress = t.progress.WithTime(now, hasTargets)
+}
+
+// Send is one or more requests that were sent to a target.
+type Send struct {
+	service, software string
+	order             Order
+	response          Response
+	at                time.Time
+	isTracked         bool
+}
+
+// IsTracked reports whether there was a rollout when the requests were sent.
+func (s Send) IsTracked() bool { return s.isTracked }
+
+// IsActive reports whether there is a rollout of a service, or a version of it was withdrawn.
+func (k *Keeper) IsActive(service string) bool {
+	if k == nil || k.watched.Load() == 0 {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.rollouts[service] != nil || len(k.withdrawn[service]) > 0
+}
+
+// IsShifted reports whether all new requests for a service go to the new version.
+func (k *Keeper) IsShifted(now time.Time, service string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := k.rollouts[service]
+	return t != nil && t.progress.Step(now) == Shifted
+}
+
+// SendRequest describes what is sent to a target.
+type SendRequest struct {
+	Target registry.Target
+	Route  string
+	// Count is the number of requests, or of pieces of a batch call.
+	Count int
+	// IsRetry is set if they have been sent before.
+	IsRetry bool
+}
+
+// Begin counts requests that are about to be sent at now. It returns false if the rollout of the service does not let them go to that
+// target.
+func (k *Keeper) Begin(now time.Time, r SendRequest) (Send, bool) {
+	if !k.IsEnabled() {
+		return Send{}, true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	service, software := r.Target.Service, r.Target.Software
+	if k.withdrawn[service][software] {
+		return Send{}, false
+	}
+	s := Send{service: service, software: software, at: now}
+	if t := k.rollouts[service]; t != nil {
+		if !t.begin(now, k.cfg.Limits, r) {
+			return Send{}, false
+		}
+		s.isTracked, s.order = true, t.progress.Order
+		s.response.Key.Route = r.Route
+		if software == t.progress.Order.Version {
+			s.response.Key.Target = r.Target.ID
+		}
+		started := time.UnixMilli(r.Target.StartedAt)
+		s.response.IsWarmingUp = r.Target.Cold(now) || (now.Sub(started) >= 0 && now.Sub(started) < warmUp)
+	}
+	if k.running[service] == nil {
+		k.running[service] = map[string]int{}
+	}
+	k.running[service][software]++
+	return s, true
+}
+
+func (t *tracked) begin(now time.Time, l Limits, r SendRequest) bool {
+	isNew := r.Target.Software == t.progress.Order.Version
+	choice := t.progress.Choose(now, l, t.own, r.Count)
+	if isNew && (choice == OldOnly || (choice == CanariesFirst && r.IsRetry)) {
+		return false
+	}
+	if !isNew && choice == NewOnly {
+		return false
+	}
+	if !r.IsRetry {
+		t.own.Requests += r.Count
+	}
+	if isNew {
+		t.own.Sent += r.Count
+	}
+	return true
+}
+
+// Result is how a send ended.
+type Result string
+
+// The results.
+const (
+	// Succeeded sends got a response without an error.
+	Succeeded Result = "succeeded"
+	// Failed sends got an error, a broken response or none.
+	Failed Result = "failed"
+	// Unknown sends say nothing of their target: the caller left, or the target did not run the request.
+	Unknown Result = "unknown"
+)
+
+// End counts the end of a send at now; expected is how long it should have taken, 0 if that is not known. Times are compared in
+// relation to it.
+func (k *Keeper) End(now time.Time, s Send, r Result) {
+	if s.service == "" {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if n := k.running[s.service]; n != nil {
+		if n[s.software]--; n[s.software] <= 0 {
+			delete(n, s.software)
+		}
+	}
+	t := k.rollouts[s.service]
+	if r == Unknown || !s.isTracked || t == nil || !t.progress.Order.Is(s.order) {
+		return
+	}
+	s.response.Failed, s.response.Took = r == Failed, now.Sub(s.at)
+	t.own = t.own.WithResponse(s.response)
+	if r == Failed && s.response.Key.Target != "" {
+		t.hasNews = true
+	}
+}
+
+// oldRunning returns the number of this node's requests that run at other versions than the order's.
+func (k *Keeper) oldRunning(o Order) int {
+	n := 0
+	for software, running := range k.running[o.Service] {
+		if software != o.Version {
+			n += running
+		}
+	}
+	return n
+}
--- a/internal/fleet/rollout/order.go
+++ b/internal/fleet/rollout/order.go
@@ -12,19 +12,30 @@
 	Created uint64
 }
 
+// Is reports whether two orders are the same one; an operator may prolong a running order.
+func (o Order) Is(other Order) bool {
+	return o.Service == other.Service && o.Version == other.Version && o.Created == other.Created
+}
+
 // State is the state of a rollout as stored.
 type State string
 
-// The states of a rollout.
+// The states of a rollout; the last two are final.
 const (
 	Running    State = "running"
 	Completed  State = "completed"
 	RolledBack State = "rolled_back"
 )
 
+// IsFinal reports whether the state never changes again.
+func (s State) IsFinal() bool { return s == Completed || s == RolledBack }
+
 // Status is the stored status of a rollout.
 type Status struct {
-	Version string    // the version that the status refers to
-	State   State     // "" if there is none
-	Began   time.Time // when the writer saw the order, zero if unknown (stored as Unix milliseconds, field "began")
+	// Version is the version that the status refers to.
+	Version string
+	// State is "" if there is no status.
+	State State
+	// Began is when the writer saw the order by its clock, zero if unknown.
+	Began time.Time
 }
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -22,6 +22,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/dispatch"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/gateway"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/permit"
+	rolloutwire "github.com/lacewingdrift/lacewingdrift/internal/wire/rollout"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/snapshot"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/transport"
 )
@@ -68,15 +69,17 @@
 
 // Node is one gateway process on the users' platform.
 type Node struct {
-	cfg             Config
-	view            *fleetView
-	meter           *metrics.Meter
-	notices         *notice.Keeper
-	permits         *permit.Client
-	keeper          *permit.Keeper
-	dispatcher      *dispatch.Dispatcher
-	dispatchClient  *dispatch.Client
-	gateway         *gateway.Gateway
+	cfg            Config
+	view           *fleetView
+	meter          *metrics.Meter
+	notices        *notice.Keeper
+	permits        *permit.Client
+	keeper         *permit.Keeper
+	dispatcher     *dispatch.Dispatcher
+	dispatchClient *dispatch.Client
+	gateway        *gateway.Gateway
+	// rollouts is nil for a deployment without rollouts.
+	rollouts        *rolloutwire.Follower
 	peerServer      *grpc.Server
 	callerServer    *http.Server
 	callerListener  *transport.Listener
@@ -108,6 +111,9 @@
 	go n.awaitCrashes(ctx)
 	go n.view.crashes.writeReports(ctx)
 	go n.view.crashes.logVerdicts(ctx)
+	if n.rollouts != nil {
+		go n.rollouts.Run(ctx)
+	}
 	cfg.Log.WithFields(logrus.Fields{"datacentre": cfg.Settings.Datacentre, "address": cfg.Settings.CallerAddress}).Info("node: started")
 	return n, nil
 }
@@ -123,11 +129,12 @@
 		IsLost: n.permits.IsLost, Check: n.permits.Check,
 	})
 	n.permits.SetLocal(n.keeper)
+	n.buildRollouts()
 	crashes := connection.CrashDetector{Connections: n.cfg.Connections, Registry: n.view.registry.Load, Notices: n.notices}
 	n.dispatcher = dispatch.New(dispatch.Config{
 		Self: s.Name, Notices: n.notices, Permits: n.permits,
 		Targets: n.cfg.StageClient, Table: n.view.table.Load, Ready: n.view.tableLoaded, Registry: n.view.registry.Load, Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
-		Quarantine: n.view.crashes.keeper, CrashedRun: crashes.CrashedRun, TakeTrial: n.view.shared.takeTrial, PassTrial: n.view.shared.passTrial,
+		Quarantine: n.view.crashes.keeper, Rollouts: n.view.rollouts, CrashedRun: crashes.CrashedRun, TakeTrial: n.view.shared.takeTrial, PassTrial: n.view.shared.passTrial,
 		AllowRetry:      func(now time.Time, service string) bool { return n.gateway.AllowRetry(now, service) },
 		RecordFirstSend: func(now time.Time, service string) { n.gateway.RecordFirstSend(now, service) },
 	})
@@ -138,7 +145,7 @@
 	n.dispatchClient = dispatch.NewClient(dispatch.ClientConfig{Self: s.Name, Local: n.dispatcher, Registry: n.view.registry.Load, Notices: n.notices, Log: n.cfg.Log, Now: n.cfg.Now})
 	n.gateway = gateway.New(gateway.Config{
 		Self: s.Name, Datacentre: s.Datacentre, StartedAt: n.cfg.Now(), Headers: n.cfg.Headers, Connections: n.cfg.Connections, Dispatch: n.dispatchClient,
-		Table: n.view.table.Load, Registry: n.view.registry.Load, Notices: n.notices, Permits: n.permits, Quarantine: gateway.Quarantine{Keeper: n.view.crashes.keeper, TakeTrial: n.view.shared.takeTrial, PassTrial: n.view.shared.passTrial, ReportsRead: n.crashesKnown}, CrashedRun: crashes.CrashedRun, RetryBudget: s.RetryBudget, ColdLimit: s.ColdLimit,
+		Table: n.view.table.Load, Registry: n.view.registry.Load, Notices: n.notices, Permits: n.permits, Rollouts: n.view.rollouts, Quarantine: gateway.Quarantine{Keeper: n.view.crashes.keeper, TakeTrial: n.view.shared.takeTrial, PassTrial: n.view.shared.passTrial, ReportsRead: n.crashesKnown}, CrashedRun: crashes.CrashedRun, RetryBudget: s.RetryBudget, ColdLimit: s.ColdLimit,
 		Log: n.cfg.Log, Meter: n.meter, Now: n.cfg.Now,
 	})
 }
@@ -158,6 +165,9 @@
 	dispatch.Register(n.peerServer, n.dispatcher)
 	permit.Register(n.peerServer, n.keeper)
 	snapshot.Register(n.peerServer, n.view)
+	if n.rollouts != nil {
+		rolloutwire.Register(n.peerServer, n.rollouts)
+	}
 	go n.serve("nodes", func() error { return n.peerServer.Serve(peers) })
 	callers, err := listen(s.CallerAddress)
 	if err != nil {
@@ -390,6 +400,9 @@
 	n.peerServer.Stop()
 	n.dispatchClient.Close()
 	n.permits.Close()
+	if n.rollouts != nil {
+		n.rollouts.Close()
+	}
 	for _, s := range n.internalServers {
 		_ = s.Close()
 	}
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -120,6 +120,9 @@
 	// ownReport is the node's report of crashes as it was last written, nil while there is none.
 	ownReport atomic.Pointer[ownEntry]
 	crashes   *crashReporter
+	// rollouts is nil for a deployment without rollouts; onRollout is called when an order or its state has changed.
+	rollouts  *rollout.Keeper
+	onRollout func()
 	shared    *sharedQuarantine
 	entryLost chan struct{}
 }
@@ -139,12 +142,16 @@
 // handlers returns the handler of every kind that a node follows.
 func (v *fleetView) handlers() map[string]kindHandler {
 	p := v.cfg.Platform
-	return map[string]kindHandler{
+	list := map[string]kindHandler{
 		p.ConfigKind:     {v.replaceConfig, v.applyConfig},
 		p.TargetKind:     {v.replaceTargets, v.applyTarget},
 		p.EvacuationKind: {v.replaceEvacuations, v.applyEvacuation},
 		p.NodeKind:       {v.replaceNodes, v.applyNode},
 	}
+	if v.rollouts.IsEnabled() {
+		list[p.RolloutKind] = kindHandler{v.replaceRollouts, v.applyRollout}
+	}
+	return list
 }
 
 func (v *fleetView) runInformer(ctx context.Context, kind string, h kindHandler) {
--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -137,3 +137,22 @@
 
 // AddCount adds to a counter.
 func (m *Meter) AddCount(name string, n int64) { m.scope.Counter(name).Inc(n) }
+
+// SetRollout sets how far the rollout of a service is at this node, and what the fleet has counted as far as the node knows.
+func (m *Meter) SetRollout(service, step string, requests, sent int) {
+	s := m.scope.Tagged(map[string]string{"service": service})
+	s.Gauge("rollout_requests").Update(float64(requests))
+	s.Gauge("rollout_sent").Update(float64(sent))
+	for _, name := range []string{"canary", "paused", "shifted", "withdrawn", "done"} {
+		value := 0.0
+		if name == step {
+			value = 1
+		}
+		m.scope.Tagged(map[string]string{"service": service, "step": name}).Gauge("rollout_step").Update(value)
+	}
+}
+
+// CountRolloutWrite counts a write of the state of a service's rollout by its result.
+func (m *Meter) CountRolloutWrite(service, state, result string) {
+	m.scope.Tagged(map[string]string{"service": service, "state": state, "result": result}).Counter("rollout_writes").Inc(1)
+}
--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -8,6 +8,7 @@
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/rollout"
 )
 
 // Scheduler forms batch calls from the pieces that wait for a service, or for its targets in one data centre.
@@ -43,6 +44,8 @@
 	// the untracked ones.
 	HeldBytes      int64
 	UntrackedBytes int64
+	// Rollout is what the rollout of the service, if there is one, counts the call by.
+	Rollout rollout.Send
 	// StartsAtOnce is set if the target is expected to start the call at once, and so to fetch its inputs soon.
 	StartsAtOnce bool
 	state        *targetState
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/quarantine"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/rollout"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/batch"
 )
 
@@ -89,6 +90,8 @@
 	Now        func() time.Time
 	Meter      Meter
 	Quarantine *quarantine.Keeper
+	// Rollouts may be nil for a deployment without rollouts.
+	Rollouts *rollout.Keeper
 	// CrashedRun returns the run of a target that has crashed, and false if it has not.
 	CrashedRun func(ctx context.Context, t registry.Target) (notice.Target, bool)
 	// TakeTrial reports whether this node may send pieces in quarantine to a target for the fleet; PassTrial is called when they
@@ -334,6 +337,7 @@
 			limits[t.ID] = limit
 		}
 	}
+	d.pauseForRollout(now, s, list, pauses)
 	s.SetTargets(now, list)
 	s.SetPauses(pauses)
 	s.SetLimits(limits)
@@ -392,6 +396,11 @@
 			}
 		}
 		d.logCallStarted(s, c, profile)
+		c.Rollout, _ = d.cfg.Rollouts.Begin(now, rollout.SendRequest{Target: c.Target, Count: len(c.Pieces)})
+		if c.Rollout.IsTracked() {
+			// The call may have used up the share of the new version.
+			d.updateTargets(now, s)
+		}
 		go d.runCall(s, c, profile)
 	}
 }
--- a/internal/wire/dispatch/settle.go
+++ b/internal/wire/dispatch/settle.go
@@ -19,6 +19,7 @@
 	overdue := time.AfterFunc(time.Duration(overdueFactor*float64(c.Expected))+overdueExtra, func() { d.retryOverdue(s, c, profile) })
 	reply, err := d.cfg.Targets.RunBatch(ctx, c.Started, c.Target, c.Pieces, d.recorder(c.Target.Run()))
 	overdue.Stop()
+	d.cfg.Rollouts.End(d.cfg.Now(), c.Rollout, rolloutResult(reply, err))
 	if err != nil && !errors.Is(err, connection.ErrUnsent) {
 		d.recordCrash(c)
 	}
--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -11,6 +11,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/notice"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/rollout"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/balancer"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/call"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/shutdown"
@@ -107,9 +108,17 @@
 			fallback.reason += "; no budget for another attempt"
 			return fallback
 		}
+		inRollout, isPermitted := g.cfg.Rollouts.Begin(now, rollout.SendRequest{Target: t, Route: rs.route.Name, Count: 1, IsRetry: rs.sends > 0 || len(tried) > 0})
+		if !isPermitted {
+			// Another request has taken the share of the new version, or the version has been withdrawn.
+			cleared.onEnd(false)
+			g.unpick(now, rs, t)
+			continue
+		}
 		tried[t.ID] = true
 		g.logPicked(now, rs, *p.target, len(tried), rw.resumePoint(rs))
 		result := g.send(ctx, r, rs, rw, t)
+		g.cfg.Rollouts.End(g.cfg.Now(), inRollout, result.forRollout())
 		cleared.onEnd(result.isComplete)
 		g.cfg.Meter.RecordSend(rs.service.Name, result.label(), g.cfg.Now().Sub(now))
 		if result.countsAsAttempt || result.final != nil {
@@ -154,7 +163,7 @@
 
 // likelyDatacentre returns the data centre in which the target of a request is likely to be.
 func (g *Gateway) likelyDatacentre(now time.Time, rs *requestState) string {
-	candidates := balancer.Order(now, g.balancerRequest(now, rs), g.loads.candidates(now, g.cfg.Registry().Usable(rs.service.Name), nil, g.cfg.Notices.Board()))
+	candidates := balancer.Order(now, g.balancerRequest(now, rs), g.loads.candidates(now, g.targets(now, rs), nil, g.cfg.Notices.Board()))
 	if len(candidates) == 0 {
 		return ""
 	}
@@ -175,7 +184,7 @@
 	if o.kind != refused {
 		return o
 	}
-	p := balancer.Place(now, balancer.Request{}, g.loads.candidates(now, g.cfg.Registry().Usable(rs.service.Name), nil, g.cfg.Notices.Board()), len(g.cfg.Registry().NodeNames()))
+	p := balancer.Place(now, balancer.Request{}, g.loads.candidates(now, g.targets(now, rs), nil, g.cfg.Notices.Board()), len(g.cfg.Registry().NodeNames()))
 	if r, ok := p.(balancer.Reject); ok && r.RetryAfter > 0 {
 		return refusal(causeBusy, "targets take no more requests now", r.RetryAfter)
 	}
@@ -190,11 +199,25 @@
 	retryAfter time.Duration
 }
 
-// pickTarget chooses a target and counts the request there.
+// pickTarget chooses a target and counts the request there. In a rollout it looks at the targets of one version after the other.
 func (g *Gateway) pickTarget(ctx context.Context, now time.Time, rs *requestState, tried map[string]bool) pick {
-	reg := g.cfg.Registry()
-	candidates := g.withGrantTimes(now, rs, g.loads.candidates(now, reg.Usable(rs.service.Name), tried, g.cfg.Notices.Board()))
-	switch p := balancer.Place(now, g.balancerRequest(now, rs), candidates, len(reg.NodeNames())).(type) {
+	lists := g.cfg.Rollouts.Lists(now, rs.service.Name, g.cfg.Registry().Usable(rs.service.Name), 1, rs.sends > 0 || len(tried) > 0)
+	for _, targets := range lists[:len(lists)-1] {
+		// Only a target that takes the request now is preferred to those of the other version.
+		candidates := g.loads.candidates(now, targets, tried, g.cfg.Notices.Board())
+		if p, ok := balancer.Place(now, g.balancerRequest(now, rs), candidates, len(g.cfg.Registry().NodeNames())).(balancer.Send); ok {
+			if found := g.pickFrom(ctx, now, rs, p.Targets); found.target != nil {
+				return found
+			}
+		}
+	}
+	return g.pickFor(ctx, now, rs, lists[len(lists)-1], tried)
+}
+
+// pickFor chooses one of some targets, or when to look again.
+func (g *Gateway) pickFor(ctx context.Context, now time.Time, rs *requestState, targets []registry.Target, tried map[string]bool) pick {
+	candidates := g.withGrantTimes(now, rs, g.loads.candidates(now, targets, tried, g.cfg.Notices.Board()))
+	switch p := balancer.Place(now, g.balancerRequest(now, rs), candidates, len(g.cfg.Registry().NodeNames())).(type) {
 	case balancer.Send:
 		return g.pickFrom(ctx, now, rs, p.Targets)
 	case balancer.Ask:
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/quarantine"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/ratelimit"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/rollout"
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/budget"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/call"
@@ -78,7 +79,9 @@
 	Registry    func() *registry.Registry
 	Notices     *notice.Keeper
 	Permits     *permit.Client
-	Quarantine  Quarantine
+	// Rollouts may be nil for a deployment without rollouts.
+	Rollouts   *rollout.Keeper
+	Quarantine Quarantine
 	// CrashedRun returns the run of a target that has crashed, and false if it has not.
 	CrashedRun  func(context.Context, registry.Target) (notice.Target, bool)
 	RetryBudget settings.RetryBudget
--- a/internal/wire/gateway/limit.go
+++ b/internal/wire/gateway/limit.go
@@ -197,7 +197,7 @@
 // limited. It returns the refusal if there will be none.
 func (g *Gateway) announce(ctx context.Context, rs *requestState, graph schedule.StageGraph) *outcome {
 	now := g.cfg.Now()
-	list := g.withGrantTimes(now, rs, g.loads.candidates(now, g.cfg.Registry().Usable(rs.service.Name), nil, g.cfg.Notices.Board()))
+	list := g.withGrantTimes(now, rs, g.loads.candidates(now, g.targets(now, rs), nil, g.cfg.Notices.Board()))
 	if len(list) == 0 || slices.ContainsFunc(list, func(c balancer.Candidate) bool { return !c.IsLimited }) {
 		return nil
 	}
