--- a/internal/serving/batch/group.go
+++ b/internal/serving/batch/group.go
@@ -91,6 +91,12 @@
 	// Running and Waiting are the numbers of calls at the target, of all callers, at the time of its response.
 	Running int
 	Waiting int
+	// Slots is the number of calls that the target can run at once, as it reports; 0 if it does not.
+	Slots int
+	// WorkTime is how long work takes at the target at the time of its response, relative to its usual time; 0 if it is not reported.
+	WorkTime float64
+	// UnknownFigures is the number of figures that the target reports of its load and that are not used.
+	UnknownFigures int
 }
 
 // Reason says why a piece has no result.
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -112,13 +112,15 @@
 	// limitedFrees holds the results to be freed at limited targets, by address.
 	limitedFrees map[string][]string
 	freeTimer    *time.Timer
+	// unknownFigures holds the services whose targets report load figures that are not used.
+	unknownFigures map[string]bool
 	// draining is set when the node stops: other dispatchers take new groups.
 	draining atomic.Bool
 }
 
 // New returns a dispatcher without pieces.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg, schedulers: map[string]*shardScheduler{}, groups: map[uint64]*group{}, pendingFrees: map[string][]string{}, limitedFrees: map[string][]string{}}
+	return &Dispatcher{cfg: cfg, schedulers: map[string]*shardScheduler{}, groups: map[uint64]*group{}, pendingFrees: map[string][]string{}, limitedFrees: map[string][]string{}, unknownFigures: map[string]bool{}}
 }
 
 // Drain makes the dispatcher decline new groups; those that it already has still run.
--- a/internal/wire/dispatch/settle.go
+++ b/internal/wire/dispatch/settle.go
@@ -35,6 +35,7 @@
 		d.settleFailed(now, s, c, err)
 	} else {
 		full := c.Complete(now, profile, reply)
+		d.logUnknownFigures(s.service, reply)
 		d.recordMade(now, c, reply)
 		d.recordEnded(now, s, c, profile, reply)
 		for i, p := range c.Pieces {
