--- a/cmd/lacewingdrift/main.go
+++ b/cmd/lacewingdrift/main.go
@@ -45,6 +45,7 @@
 		auditCommand(),
 		explainCommand(),
 		statusCommand(),
+		rolloutCommand(openPlatformStore),
 		drainCommand(),
 		restoreCommand(),
 		demoCommand(),
--- a/internal/operator/audit/audit.go
+++ b/internal/operator/audit/audit.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 )
@@ -26,6 +27,9 @@
 	Remove   Action = "remove"
 	Publish  Action = "publish"
 	Rollback Action = "rollback"
+	// StartRollout and AbortRollout are changes of orders on the users' platform.
+	StartRollout Action = "start-rollout"
+	AbortRollout Action = "abort-rollout"
 )
 
 // Record is one action of an operator. It is written inside the object that it changes, in the same write, and then
@@ -45,6 +49,17 @@
 	Refused string `json:"refused,omitempty"`
 }
 
+// Log writes the record as a line of a log, for a change of an object that cannot hold it.
+func (r Record) Log(log logrus.FieldLogger) {
+	fields := logrus.Fields{"who": r.Operator, "when": r.Time.UTC().Format(time.RFC3339Nano), "act": r.Action, "object": r.Object}
+	for name, value := range map[string]string{"reason": r.Reason, "before": string(r.Before), "after": string(r.After), "refused": r.Refused} {
+		if value != "" {
+			fields[name] = value
+		}
+	}
+	log.WithFields(fields).Info("audit: " + string(r.Action))
+}
+
 func (r Record) name() string { return fmt.Sprintf("%013d-%s", r.Time.UnixMilli(), r.ID) }
 
 // Trail reads and writes audit records.
