--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -147,10 +147,9 @@
 type pausingStore struct {
 	object.Store
 	source *changeSource
-	// nodeKind is the kind that a node watches before it knows its relay; rolloutKind is the one that it does not list before: most
-	// fleets have no order at most times, and a relay passes on those that there are.
-	nodeKind, rolloutKind string
-	now                   func() time.Time
+	// nodeKind is the kind that a node watches before it knows its relay.
+	nodeKind string
+	now      func() time.Time
 	// isUnavailable reports whether the store does not answer.
 	isUnavailable func() bool
 	// listPurpose is what the next list is for.
@@ -159,11 +158,6 @@
 
 // List lists a kind of the store.
 func (s *pausingStore) List(ctx context.Context, kind, prefix string) (object.List, error) {
-	if kind == s.rolloutKind {
-		if err := s.source.awaitMode(ctx, fromStore); err != nil {
-			return object.List{}, err
-		}
-	}
 	purpose := s.listPurpose
 	if s.isUnavailable() {
 		purpose = object.PurposeRetry
