--- a/internal/fleet/rollout/collect.go
+++ b/internal/fleet/rollout/collect.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 )
 
 // judgeInterval bounds how often the evidence of a rollout is added up.
@@ -118,13 +120,16 @@
 
 // Decide judges by this node's own responses, and returns the progress of the rollout of a service and what to do about its stored state.
 // rank is the node's place among those that collect the evidence, nodes are all nodes.
-func (k *Keeper) Decide(now time.Time, service string, rank int, nodes []string) (Progress, Situation, Action) {
+//
+// targets are the service's usable ones: a node without requests of its own takes part in the steps all the same.
+func (k *Keeper) Decide(now time.Time, service string, rank int, nodes []string, targets []registry.Target) (Progress, Situation, Action) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	t := k.rollouts[service]
 	if t == nil {
 		return Progress{}, Situation{}, Keep{}
 	}
+	k.advance(now, t, k.permitted(service, targets))
 	if t.progress.Bad == nil && !t.progress.State.IsFinal() && t.local.isDue(now) {
 		t.progress = t.progress.WithVerdict(now, Judge(t.own, t.local.earlier(now, t.own)))
 	}
--- /dev/null
+++ b/internal/fleet/rollout/keeper_test.go
@@ -0,0 +1,66 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
+)
+
+var (
+	testLimits = Limits{Share: 0.1, Extra: 50, Rollback: 5 * time.Second}
+	testOrder  = Order{Service: "svc", Version: "v2", Duration: 6 * time.Second, Created: 5}
+	testBegin  = time.Unix(1000, 0)
+	testNodes  = []string{"n0", "n1", "n2"}
+)
+
+// testTargets returns n targets of each of two versions.
+func testTargets(n int) []registry.Target {
+	var list []registry.Target
+	for i := range n {
+		list = append(list, registry.Target{ID: fmt.Sprint("old", i), Service: "svc", Software: "v1"}, registry.Target{ID: fmt.Sprint("new", i), Service: "svc", Software: "v2"})
+	}
+	return list
+}
+
+func newTestKeeper(name string) *Keeper {
+	return NewKeeper(KeeperConfig{Self: name, StartedAt: 1, Limits: testLimits})
+}
+
+// goodSum is the responses of a node at which both versions succeed.
+func goodSum(n int) Sum {
+	sum := Sum{Requests: n, Sent: n / 13}
+	for i := range n {
+		key := Key{Route: "chat"}
+		if i < n/13 {
+			key.Target = fmt.Sprint("new", i%2)
+		}
+		sum = sum.WithResponse(Response{Key: key, Took: 100 * time.Millisecond})
+	}
+	return sum
+}
+
+// TestCollectorWithoutRequestsCompletes guards against a good version that is rolled back since the node which writes the state gets
+// none of the service's requests and so never shifts.
+func TestCollectorWithoutRequestsCompletes(t *testing.T) {
+	k := newTestKeeper("n0")
+	k.SetOrder(testBegin, testOrder, Status{})
+	var got Action
+	for at := time.Duration(0); at <= testOrder.Duration; at += 500 * time.Millisecond {
+		now := testBegin.Add(at)
+		for _, n := range testNodes {
+			r := Report{Node: n, StartedAt: 1, Order: testOrder, Elapsed: at, IsShifted: at > 4*time.Second, OldRunning: 1}
+			if n != "n0" {
+				r.Sum = goodSum(40 + int(at/time.Second))
+			}
+			k.Receive(now, r)
+		}
+		if _, _, got = k.Decide(now, "svc", 0, testNodes, testTargets(4)); got == (Write{Running, Seen}) {
+			k.SetOrder(now, testOrder, Status{Version: "v2", State: Running})
+		}
+	}
+	if want := (Write{Completed, DueNow}); got != want {
+		t.Errorf("got %+v at the deadline, want %+v", got, want)
+	}
+}
--- a/internal/wire/rollout/follower.go
+++ b/internal/wire/rollout/follower.go
@@ -135,7 +135,8 @@
 	if rank < 0 {
 		return
 	}
-	p, situation, action := f.cfg.Keeper.Decide(now, service, rank, f.cfg.Registry().NodeNames())
+	r := f.cfg.Registry()
+	p, situation, action := f.cfg.Keeper.Decide(now, service, rank, r.NodeNames(), r.Usable(service))
 	f.logStep(now, p, situation)
 	if w, ok := action.(rollout.Write); ok {
 		f.write(ctx, now, p, w, situation)
