--- a/internal/fleet/rollout/collect.go
+++ b/internal/fleet/rollout/collect.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
@@ -33,7 +34,7 @@
 
 // Reply is what a node that collects the evidence answers to a report.
 type Reply struct {
-	// IsKnown is set if the node knows the order too.
+	// IsKnown is set if the node knows the order too and has fresh reports of most nodes.
 	IsKnown bool
 	Elapsed time.Duration
 	// Bad is the node's verdict, nil if there is none.
@@ -81,8 +82,8 @@
 	}
 }
 
-// Receive takes in a node's report that arrives at now.
-func (k *Keeper) Receive(now time.Time, r Report) Reply {
+// Receive takes in a node's report that arrives at now; nodes are all nodes.
+func (k *Keeper) Receive(now time.Time, r Report, nodes []string) Reply {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	t := k.rollouts[r.Order.Service]
@@ -90,9 +91,10 @@
 		return Reply{}
 	}
 	t.evidence = t.evidence.With(now, r)
-	t.progress = t.progress.WithHeard(now, r.Elapsed)
+	heardAt := t.evidence.heardAt(nodes)
+	t.progress = t.progress.WithElapsed(now, r.Elapsed).WithHeard(heardAt)
 	k.judge(now, t)
-	return Reply{IsKnown: true, Elapsed: now.Sub(t.progress.Began), Bad: t.progress.Bad}
+	return Reply{IsKnown: now.Sub(heardAt) <= evidenceLifetime, Elapsed: now.Sub(t.progress.Began), Bad: t.progress.Bad}
 }
 
 // judge compares the versions by what the fleet has reported.
@@ -109,10 +111,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	t := k.rollouts[o.Service]
-	if t == nil || !t.progress.Order.Is(o) || !r.IsKnown {
+	if t == nil || !t.progress.Order.Is(o) {
 		return
 	}
-	t.progress = t.progress.WithHeard(now, r.Elapsed)
+	if r.IsKnown {
+		t.progress = t.progress.WithElapsed(now, r.Elapsed).WithHeard(now)
+	}
 	if r.Bad != nil {
 		t.progress = t.progress.WithVerdict(now, *r.Bad)
 	}
@@ -133,23 +137,27 @@
 	if t.progress.Bad == nil && !t.progress.State.IsFinal() && t.local.isDue(now) {
 		t.progress = t.progress.WithVerdict(now, Judge(t.own, t.local.earlier(now, t.own)))
 	}
-	s := Situation{Rank: rank, HasEvidence: t.evidence.covers(now, nodes), IsDrained: t.evidence.IsDrained(now, nodes), Sum: t.evidence.Sum()}
+	s := Situation{Rank: rank, HasEvidence: now.Sub(t.evidence.heardAt(nodes)) <= reportLifetime, IsDrained: t.evidence.IsDrained(now, nodes), Sum: t.evidence.Sum()}
 	return t.progress, s, t.progress.Next(now, s)
 }
 
-// covers reports whether more than half of the nodes have reported in the latest reportLifetime.
-func (e Evidence) covers(now time.Time, nodes []string) bool {
-	heard := map[string]bool{}
+// heardAt returns the latest time since which more than half of the nodes have reported, zero if fewer have.
+func (e Evidence) heardAt(nodes []string) time.Time {
+	latest := map[string]time.Time{}
 	for k, h := range e.reports {
-		if now.Sub(h.at) <= reportLifetime {
-			heard[k.node] = true
+		if h.at.After(latest[k.node]) {
+			latest[k.node] = h.at
 		}
 	}
-	n := 0
+	times := make([]time.Time, 0, len(nodes))
 	for _, name := range nodes {
-		if heard[name] {
-			n++
+		if at, ok := latest[name]; ok {
+			times = append(times, at)
 		}
 	}
-	return 2*n > len(nodes)
+	if 2*len(times) <= len(nodes) {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[len(nodes)/2]
 }
--- a/internal/fleet/rollout/keeper_test.go
+++ b/internal/fleet/rollout/keeper_test.go
@@ -54,7 +54,7 @@
 			if n != "n0" {
 				r.Sum = goodSum(40 + int(at/time.Second))
 			}
-			k.Receive(now, r)
+			k.Receive(now, r, testNodes)
 		}
 		if _, _, got = k.Decide(now, "svc", 0, testNodes, testTargets(4)); got == (Write{Running, Seen}) {
 			k.SetOrder(now, testOrder, Status{Version: "v2", State: Running})
@@ -64,3 +64,36 @@
 		t.Errorf("got %+v at the deadline, want %+v", got, want)
 	}
 }
+
+// TestNodeCutOffFromOthersPauses guards against a node which takes its own reports for the evidence of the fleet: it would go on
+// sending to a version that all others have left.
+func TestNodeCutOffFromOthersPauses(t *testing.T) {
+	k := newTestKeeper("n0")
+	p, _ := k.SetOrder(testBegin, testOrder, Status{})
+	var last time.Time
+	for at := time.Duration(0); at < testOrder.Duration; at += 100 * time.Millisecond {
+		now := testBegin.Add(at)
+		r, _, _ := k.Report(now, "svc")
+		if reply := k.Receive(now, r, testNodes); reply.IsKnown {
+			t.Fatalf("after %s: got a reply for the fleet from one of three nodes", at)
+		}
+		k.Learn(now, testOrder, Reply{Elapsed: at})
+		for range 10 {
+			for _, list := range k.Lists(now, "svc", testTargets(4), 1, false)[:1] {
+				if s, ok := k.Begin(now, SendRequest{Target: list[len(list)-1], Route: "chat", Count: 1}); ok {
+					k.End(now, s, Succeeded)
+					if s.software == "v2" {
+						last = now
+					}
+				}
+			}
+		}
+		p, _, _ = k.Decide(now, "svc", 0, testNodes, testTargets(4))
+	}
+	if got, want := last.Sub(testBegin), evidenceLifetime; got > want || got == 0 {
+		t.Errorf("got the last request to the new version %s after the order, want some until %s", got, want)
+	}
+	if got := p.Step(testBegin.Add(5 * time.Second)); got != Paused {
+		t.Errorf("got step %s, want %s", got, Paused)
+	}
+}
--- a/internal/fleet/rollout/progress.go
+++ b/internal/fleet/rollout/progress.go
@@ -86,9 +86,17 @@
 	return p
 }
 
-// WithHeard returns the progress after the node has heard the fleet's evidence at now, which counts the time since the order.
-func (p Progress) WithHeard(now time.Time, elapsed time.Duration) Progress {
-	p.heardAt = now
+// WithHeard returns the progress after the node has heard the fleet's evidence, as it was at a time. A node that hears only itself, or
+// few others, has not.
+func (p Progress) WithHeard(at time.Time) Progress {
+	if at.After(p.heardAt) {
+		p.heardAt = at
+	}
+	return p
+}
+
+// WithElapsed returns the progress after another node has told how long ago the order was.
+func (p Progress) WithElapsed(now time.Time, elapsed time.Duration) Progress {
 	if began := now.Add(-elapsed); began.Before(p.Began) {
 		p.Began = began
 	}
--- a/internal/wire/rollout/follower.go
+++ b/internal/wire/rollout/follower.go
@@ -121,11 +121,12 @@
 	now := f.cfg.Now()
 	service := p.Order.Service
 	ranked := f.collectors(now, service)
+	r := f.cfg.Registry()
 	if report, isUrgent, ok := f.cfg.Keeper.Report(now, service); ok && f.isReportDue(now, service, isUrgent) {
 		f.cfg.Keeper.Sent(service)
 		for _, name := range ranked[:min(len(ranked), collectors)] {
 			if name == f.cfg.Self {
-				f.cfg.Keeper.Receive(now, report)
+				f.cfg.Keeper.Receive(now, report, r.NodeNames())
 				continue
 			}
 			go f.tell(ctx, name, report)
@@ -135,7 +136,6 @@
 	if rank < 0 {
 		return
 	}
-	r := f.cfg.Registry()
 	p, situation, action := f.cfg.Keeper.Decide(now, service, rank, r.NodeNames(), r.Usable(service))
 	f.logStep(now, p, situation)
 	if w, ok := action.(rollout.Write); ok {
@@ -277,8 +277,9 @@
 // Tell takes in another node's report. Only nodes of the fleet are heard, which bounds what is kept.
 func (s server) Tell(_ context.Context, m *rolloutpb.Report) (*rolloutpb.Reply, error) {
 	cfg := s.follower.cfg
-	if _, ok := cfg.Registry().Node(m.Node); !ok {
+	r := cfg.Registry()
+	if _, ok := r.Node(m.Node); !ok {
 		return toReply(rollout.Reply{}), nil
 	}
-	return toReply(cfg.Keeper.Receive(cfg.Now(), fromReport(m))), nil
+	return toReply(cfg.Keeper.Receive(cfg.Now(), fromReport(m), r.NodeNames())), nil
 }
