--- a/internal/fleet/rollout/keeper_test.go
+++ b/internal/fleet/rollout/keeper_test.go
@@ -97,3 +97,28 @@
 		t.Errorf("got step %s, want %s", got, Paused)
 	}
 }
+
+// TestRestartedNodeHearsEvidenceFirst guards against a node that starts shortly before the deadline and sends all requests to a version
+// on which the others already have a verdict that the store does not have yet.
+func TestRestartedNodeHearsEvidenceFirst(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		reply Reply
+		want  Step
+	}{
+		{"no verdict", Reply{IsKnown: true, Elapsed: 5 * time.Second}, Shifted},
+		{"bad version", Reply{IsKnown: true, Elapsed: 5 * time.Second, Bad: &Bad{Reason: Failing}}, Withdrawn},
+		{"collector that hears few", Reply{Elapsed: 5 * time.Second}, Paused},
+	} {
+		k := newTestKeeper("n1")
+		k.SetOrder(testBegin, testOrder, Status{Version: "v2", State: Running, Began: testBegin.Add(-5 * time.Second)})
+		if got := k.Lists(testBegin, "svc", testTargets(2), 1, false); len(got) != 1 || got[0][0].Software != "v1" || len(got[0]) != 2 {
+			t.Errorf("%s: got targets %+v before any evidence, want those of v1", tt.name, got)
+		}
+		k.Learn(testBegin, testOrder, tt.reply)
+		p, _, _ := k.Decide(testBegin, "svc", 1, testNodes, testTargets(2))
+		if got := p.Step(testBegin); got != tt.want {
+			t.Errorf("%s: got step %s, want %s", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/fleet/rollout/progress.go
+++ b/internal/fleet/rollout/progress.go
@@ -52,12 +52,14 @@
 	isShifted bool
 }
 
-// NewProgress returns the progress of an order that a node sees at now. began is when another node has seen it, zero if none is known.
+// NewProgress returns the progress of an order that a node sees at now. began is when another node has seen it, zero if none is known;
+// what the fleet has learnt since then must be heard before the new version gets anything from this node.
 func NewProgress(now time.Time, o Order, began time.Time) Progress {
 	p := Progress{Order: o, Began: now, heardAt: now}
 	if !began.IsZero() {
 		// The writer's clock may be wrong, but the order is not from the future, nor is it treated as over without evidence.
-		p.Began = now.Add(-min(max(0, now.Sub(began)), o.Duration-o.lead()))
+		p.Began = now.Add(-min(max(0, now.Sub(began)), max(0, o.Duration-o.lead())))
+		p.heardAt = time.Time{}
 	}
 	return p
 }
