--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -255,6 +255,14 @@
 	return nil, false
 }
 
+// Return takes back a call that was not made; its target gets no other one in this round.
+func (s *Scheduler) Return(c *Call) {
+	c.release()
+	c.state.freeAt = c.Started
+	s.skipped[c.Target.ID] = true
+	s.Add(c.Pieces...)
+}
+
 // onTimeCalls is the number of calls of each target over which onTimeShare is averaged: about a second's worth.
 const onTimeCalls = 4
 
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -379,6 +379,14 @@
 		if !ok {
 			return
 		}
+		inRollout, isPermitted := d.cfg.Rollouts.Begin(now, rollout.SendRequest{Target: c.Target, Count: len(c.Pieces)})
+		if !isPermitted {
+			// The pauses are those of the latest update of the targets, and the rollout may have gone on since then.
+			s.Return(c)
+			d.updateTargets(now, s)
+			continue
+		}
+		c.Rollout = inRollout
 		c.StartsAtOnce = c.StartsAtOnce && d.hasShard(s)
 		for _, p := range c.Pieces {
 			g := d.groups[p.GroupID]
@@ -396,7 +404,6 @@
 			}
 		}
 		d.logCallStarted(s, c, profile)
-		c.Rollout, _ = d.cfg.Rollouts.Begin(now, rollout.SendRequest{Target: c.Target, Count: len(c.Pieces)})
 		if c.Rollout.IsTracked() {
 			// The call may have used up the share of the new version.
 			d.updateTargets(now, s)
