--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -238,6 +238,17 @@
 // Usable lists the targets of a service that may be sent work, sorted by ID.
 func (r *Registry) Usable(service string) []Target { return r.usable[service] }
 
+// Targets lists the targets of a service, whether or not they may be sent work.
+func (r *Registry) Targets(service string) []Target {
+	var list []Target
+	for _, t := range r.targets {
+		if t.Service == service {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // Target returns a target by its ID, whether or not it may be sent work.
 func (r *Registry) Target(id string) (Target, bool) {
 	t, ok := r.targets[id]
--- a/internal/fleet/rollout/keeper.go
+++ b/internal/fleet/rollout/keeper.go
@@ -11,6 +11,10 @@
 // warmUp is how long the response times of a target that has started say nothing of its version.
 const warmUp = 5 * time.Second
 
+// withdrawnLifetime is how long a withdrawn version gets nothing even while it has no targets: some may still be starting, or restart
+// after a crash.
+const withdrawnLifetime = time.Minute
+
 // KeeperConfig holds the settings of a Keeper.
 type KeeperConfig struct {
 	// Self is the name of this node, StartedAt its start time in Unix milliseconds.
@@ -27,8 +31,9 @@
 
 	mu       sync.Mutex
 	rollouts map[string]*tracked
-	// withdrawn holds, by service, the versions of orders that ended without being completed. Their targets leave some time later.
-	withdrawn map[string]map[string]bool
+	// withdrawn holds, by service, the versions of orders that ended without being completed, and when these last had targets. Their
+	// targets leave some time later.
+	withdrawn map[string]map[string]time.Time
 	// running is the number of this node's requests by service and version.
 	running map[string]map[string]int
 }
@@ -46,7 +51,7 @@
 
 // NewKeeper returns a keeper without rollouts.
 func NewKeeper(cfg KeeperConfig) *Keeper {
-	return &Keeper{cfg: cfg, rollouts: map[string]*tracked{}, withdrawn: map[string]map[string]bool{}, running: map[string]map[string]int{}}
+	return &Keeper{cfg: cfg, rollouts: map[string]*tracked{}, withdrawn: map[string]map[string]time.Time{}, running: map[string]map[string]int{}}
 }
 
 // IsEnabled reports whether the deployment has rollouts at all.
@@ -64,8 +69,12 @@
 	t := k.rollouts[o.Service]
 	isNew := t == nil || !t.progress.Order.Is(o)
 	if isNew {
-		if t != nil {
-			k.withdraw(t.progress)
+		if t != nil && t.progress.State != Completed {
+			k.withdraw(now, o.Service, t.progress.Order.Version)
+		}
+		if s.Version != o.Version && s.State != "" && s.State != Completed {
+			// The node has not seen the order before this one, which was replaced before it was completed.
+			k.withdraw(now, o.Service, s.Version)
 		}
 		began := s.Began
 		if state == "" {
@@ -82,22 +91,24 @@
 	return t.progress, isNew || before != t.progress.State
 }
 
-// RemoveOrder ends the rollout of a service. Unless it was completed, nothing more goes to its version.
-func (k *Keeper) RemoveOrder(service string) {
+// RemoveOrder ends the rollout of a service at now. Unless it was completed, nothing more goes to its version.
+func (k *Keeper) RemoveOrder(now time.Time, service string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if t := k.rollouts[service]; t != nil {
-		k.withdraw(t.progress)
+		if t.progress.State != Completed {
+			k.withdraw(now, service, t.progress.Order.Version)
+		}
 		delete(k.rollouts, service)
 	}
 	k.count()
 }
 
-// RetainOrders ends the rollouts of all other services.
-func (k *Keeper) RetainOrders(services map[string]bool) {
+// RetainOrders ends the rollouts of all other services at now.
+func (k *Keeper) RetainOrders(now time.Time, services map[string]bool) {
 	for _, s := range k.services() {
 		if !services[s] {
-			k.RemoveOrder(s)
+			k.RemoveOrder(now, s)
 		}
 	}
 }
@@ -112,14 +123,17 @@
 	return list
 }
 
-func (k *Keeper) withdraw(p Progress) {
-	if p.State == Completed {
-		return
-	}
-	if k.withdrawn[p.Order.Service] == nil {
-		k.withdrawn[p.Order.Service] = map[string]bool{}
+func (k *Keeper) withdraw(now time.Time, service, version string) {
+	if k.withdrawn[service] == nil {
+		k.withdrawn[service] = map[string]time.Time{}
 	}
-	k.withdrawn[p.Order.Service][p.Order.Version] = true
+	k.withdrawn[service][version] = now
+}
+
+// isWithdrawn reports whether a version of a service gets nothing more.
+func (k *Keeper) isWithdrawn(service, version string) bool {
+	_, ok := k.withdrawn[service][version]
+	return ok
 }
 
 func (k *Keeper) count() {
@@ -132,20 +146,21 @@
 	k.watched.Store(int32(n))
 }
 
-// ForgetGone forgets the withdrawn versions that no target has any more.
-func (k *Keeper) ForgetGone(r *registry.Registry) {
-	if k.watched.Load() == 0 {
-		return
-	}
+// ForgetGone forgets the withdrawn versions that have had no target for withdrawnLifetime, and returns whether there are others.
+func (k *Keeper) ForgetGone(now time.Time, r *registry.Registry) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if len(k.withdrawn) == 0 {
+		return false
+	}
 	for service, versions := range k.withdrawn {
-		alive := map[string]bool{}
-		for _, t := range r.Usable(service) {
-			alive[t.Software] = true
+		for _, t := range r.Targets(service) {
+			if _, ok := versions[t.Software]; ok {
+				versions[t.Software] = now
+			}
 		}
-		for v := range versions {
-			if !alive[v] {
+		for v, at := range versions {
+			if now.Sub(at) > withdrawnLifetime {
 				delete(versions, v)
 			}
 		}
@@ -154,6 +169,7 @@
 		}
 	}
 	k.count()
+	return len(k.withdrawn) > 0
 }
 
 // Lists returns the targets of a service to which the next n requests may be sent, in lists to be tried one after the other.
@@ -182,13 +198,12 @@
 
 // permitted leaves out the targets of withdrawn versions.
 func (k *Keeper) permitted(service string, targets []registry.Target) []registry.Target {
-	versions := k.withdrawn[service]
-	if len(versions) == 0 {
+	if len(k.withdrawn[service]) == 0 {
 		return targets
 	}
 	list := make([]registry.Target, 0, len(targets))
 	for _, t := range targets {
-		if !versions[t.Software] {
+		if !k.isWithdrawn(service, t.Software) {
 			list = append(list, t)
 		}
 	}
@@ -252,7 +267,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	service, software := r.Target.Service, r.Target.Software
-	if k.withdrawn[service][software] {
+	if k.isWithdrawn(service, software) {
 		return Send{}, false
 	}
 	s := Send{service: service, software: software, at: now}
--- a/internal/fleet/rollout/keeper_test.go
+++ b/internal/fleet/rollout/keeper_test.go
@@ -122,3 +122,53 @@
 		}
 	}
 }
+
+// TestWithdrawnVersionStaysOut guards against requests to a version whose order was removed or replaced: when its targets are not
+// usable for a moment, when they start only then, and at a node that starts after it.
+func TestWithdrawnVersionStaysOut(t *testing.T) {
+	second := Order{Service: "svc", Version: "v3", Duration: 6 * time.Second, Created: 9}
+	running := Status{Version: "v2", State: Running}
+	completed := Status{Version: "v2", State: Completed}
+	for _, tt := range []struct {
+		name string
+		end  func(k *Keeper)
+		want bool
+	}{
+		{"removed", func(k *Keeper) { k.SetOrder(testBegin, testOrder, running); k.RemoveOrder(testBegin, "svc") }, false},
+		{"not listed", func(k *Keeper) { k.SetOrder(testBegin, testOrder, running); k.RetainOrders(testBegin, nil) }, false},
+		{"replaced", func(k *Keeper) {
+			k.SetOrder(testBegin, testOrder, running)
+			k.SetOrder(testBegin, second, running)
+		}, false},
+		{"replaced before this node started", func(k *Keeper) { k.SetOrder(testBegin, second, running) }, false},
+		{"completed and replaced", func(k *Keeper) { k.SetOrder(testBegin, second, completed) }, true},
+		{"completed and removed", func(k *Keeper) { k.SetOrder(testBegin, testOrder, completed); k.RemoveOrder(testBegin, "svc") }, true},
+		{"removed and ordered again", func(k *Keeper) {
+			k.SetOrder(testBegin, testOrder, running)
+			k.RemoveOrder(testBegin, "svc")
+			k.SetOrder(testBegin, Order{Service: "svc", Version: "v2", Duration: time.Minute, Created: 9}, Status{Version: "v2", State: Completed})
+		}, true},
+	} {
+		k := newTestKeeper("n0")
+		tt.end(k)
+		draining := testTargets(1)
+		draining[1].State = registry.Draining
+		now := testBegin
+		for _, r := range []*registry.Registry{registry.New(), registry.New().WithTargets(draining, time.Time{}), registry.New()} {
+			now = now.Add(withdrawnLifetime / 2)
+			k.ForgetGone(now, r)
+			if _, got := k.Begin(now, SendRequest{Target: testTargets(1)[1], Count: 1}); got != tt.want {
+				t.Errorf("%s: after %s: got %t, want %t", tt.name, now.Sub(testBegin), got, tt.want)
+			}
+		}
+		for range 3 {
+			now = now.Add(withdrawnLifetime)
+			if k.ForgetGone(now, registry.New()); !k.isWithdrawn("svc", "v2") {
+				break
+			}
+		}
+		if k.isWithdrawn("svc", "v2") {
+			t.Errorf("%s: the version is held although its targets are long gone", tt.name)
+		}
+	}
+}
--- a/internal/operator/gatewaynode/rollout.go
+++ b/internal/operator/gatewaynode/rollout.go
@@ -37,13 +37,15 @@
 			services[service] = true
 		}
 	}
-	v.rollouts.RetainOrders(services)
+	v.rollouts.RetainOrders(v.cfg.Now(), services)
+	v.onRollout()
 }
 
 func (v *fleetView) applyRollout(e object.Event) {
 	if e.Type == object.Delete {
 		v.cfg.Log.WithFields(logrus.Fields{"service": e.Object.Name, "revision": e.Object.Version.Revision()}).Info("rollout: order was removed")
-		v.rollouts.RemoveOrder(e.Object.Name)
+		v.rollouts.RemoveOrder(v.cfg.Now(), e.Object.Name)
+		v.onRollout()
 		return
 	}
 	v.setRollout(e.Object)
--- a/internal/wire/rollout/follower.go
+++ b/internal/wire/rollout/follower.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// Run takes rollouts through their steps until the context ends. It sleeps while there are none.
+// Run takes rollouts through their steps until the context ends. It sleeps while there are none and no version is withdrawn.
 func (f *Follower) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	ticker.Stop()
@@ -109,8 +109,7 @@
 		for _, p := range list {
 			f.advance(ctx, p)
 		}
-		f.cfg.Keeper.ForgetGone(f.cfg.Registry())
-		if len(list) == 0 {
+		if hasWithdrawn := f.cfg.Keeper.ForgetGone(f.cfg.Now(), f.cfg.Registry()); len(list) == 0 && !hasWithdrawn {
 			ticker.Stop()
 		}
 	}
