--- a/internal/fleet/rollout/keeper_test.go
+++ b/internal/fleet/rollout/keeper_test.go
@@ -155,7 +155,7 @@
 		draining[1].State = registry.Draining
 		now := testBegin
 		for _, r := range []*registry.Registry{registry.New(), registry.New().WithTargets(draining, time.Time{}), registry.New()} {
-			now = now.Add(withdrawnLifetime / 2)
+			now = now.Add(20 * time.Second)
 			k.ForgetGone(now, r)
 			if _, got := k.Begin(now, SendRequest{Target: testTargets(1)[1], Count: 1}); got != tt.want {
 				t.Errorf("%s: after %s: got %t, want %t", tt.name, now.Sub(testBegin), got, tt.want)
