--- a/internal/fleet/rollout/keeper.go
+++ b/internal/fleet/rollout/keeper.go
@@ -15,6 +15,9 @@
 // after a crash.
 const withdrawnLifetime = time.Minute
 
+// maxListWait bounds how long a node that has started refuses requests because it has not read the operators' orders.
+const maxListWait = 5 * time.Second
+
 // KeeperConfig holds the settings of a Keeper.
 type KeeperConfig struct {
 	// Self is the name of this node, StartedAt its start time in Unix milliseconds.
@@ -28,6 +31,8 @@
 	cfg KeeperConfig
 	// watched is the number of services with a rollout or a withdrawn version; requests of other services pass unchanged.
 	watched atomic.Int32
+	// isListed is set once the operators' orders have been read. Before, any target may be that of a new version.
+	isListed atomic.Bool
 
 	mu       sync.Mutex
 	rollouts map[string]*tracked
@@ -104,8 +109,9 @@
 	k.count()
 }
 
-// RetainOrders ends the rollouts of all other services at now.
+// RetainOrders ends the rollouts of all other services at now, after all orders have been read.
 func (k *Keeper) RetainOrders(now time.Time, services map[string]bool) {
+	k.isListed.Store(true)
 	for _, s := range k.services() {
 		if !services[s] {
 			k.RemoveOrder(now, s)
@@ -172,9 +178,20 @@
 	return len(k.withdrawn) > 0
 }
 
+// isUnread reports whether the node may not send anything for lack of the operators' orders.
+func (k *Keeper) isUnread(now time.Time) bool {
+	return !k.isListed.Load() && now.Sub(time.UnixMilli(k.cfg.StartedAt)) < maxListWait
+}
+
 // Lists returns the targets of a service to which the next n requests may be sent, in lists to be tried one after the other.
 func (k *Keeper) Lists(now time.Time, service string, targets []registry.Target, n int, isRetry bool) [][]registry.Target {
-	if k == nil || k.watched.Load() == 0 {
+	if !k.IsEnabled() {
+		return [][]registry.Target{targets}
+	}
+	if k.isUnread(now) {
+		return [][]registry.Target{nil}
+	}
+	if k.watched.Load() == 0 {
 		return [][]registry.Target{targets}
 	}
 	k.mu.Lock()
@@ -230,9 +247,15 @@
 // IsTracked reports whether there was a rollout when the requests were sent.
 func (s Send) IsTracked() bool { return s.isTracked }
 
-// IsActive reports whether there is a rollout of a service, or a version of it was withdrawn.
-func (k *Keeper) IsActive(service string) bool {
-	if k == nil || k.watched.Load() == 0 {
+// IsActive reports whether there is a rollout of a service, as far as the node knows, or a version of it was withdrawn.
+func (k *Keeper) IsActive(now time.Time, service string) bool {
+	if !k.IsEnabled() {
+		return false
+	}
+	if k.isUnread(now) {
+		return true
+	}
+	if k.watched.Load() == 0 {
 		return false
 	}
 	k.mu.Lock()
@@ -264,6 +287,9 @@
 	if !k.IsEnabled() {
 		return Send{}, true
 	}
+	if k.isUnread(now) {
+		return Send{}, false
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	service, software := r.Target.Service, r.Target.Software
--- a/internal/fleet/rollout/keeper_test.go
+++ b/internal/fleet/rollout/keeper_test.go
@@ -172,3 +172,26 @@
 		}
 	}
 }
+
+// TestNothingIsSentBeforeOrdersAreRead guards against a node that starts during a rollout, knows the targets before the order, and
+// takes those of the new version for usual ones.
+func TestNothingIsSentBeforeOrdersAreRead(t *testing.T) {
+	send := func(k *Keeper, now time.Time) (listed int, isPermitted bool) {
+		for _, list := range k.Lists(now, "svc", testTargets(1), 1, false) {
+			listed += len(list)
+		}
+		_, isPermitted = k.Begin(now, SendRequest{Target: testTargets(1)[0], Count: 1})
+		return listed, isPermitted
+	}
+	k := NewKeeper(KeeperConfig{Self: "n0", StartedAt: testBegin.UnixMilli(), Limits: testLimits})
+	if n, ok := send(k, testBegin); n != 0 || ok || !k.IsActive(testBegin, "svc") {
+		t.Errorf("got %d targets, %t before the orders were read, want none", n, ok)
+	}
+	if n, ok := send(k, testBegin.Add(maxListWait)); n != 2 || !ok {
+		t.Errorf("got %d targets, %t after %s without orders, want 2", n, ok, maxListWait)
+	}
+	k.RetainOrders(testBegin, nil)
+	if n, ok := send(k, testBegin); n != 2 || !ok || k.IsActive(testBegin, "svc") {
+		t.Errorf("got %d targets, %t without an order, want 2", n, ok)
+	}
+}
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -234,7 +234,7 @@
 
 // serveReady responds to the load balancer's readiness check.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if n.draining.Load() || n.view.table.Load() == nil || !n.view.targetsListed.Load() {
+	if n.draining.Load() || !n.view.isListed() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -252,8 +252,8 @@
 	close(n.crashesKnown)
 }
 
-// bootstrap reads from other nodes the lists that the store does not return, until the node has a configuration and
-// targets.
+// bootstrap reads from other nodes the lists that the store does not return, until the node has a configuration,
+// targets and the operators' orders.
 func (n *Node) bootstrap(ctx context.Context) {
 	for {
 		select {
@@ -261,7 +261,7 @@
 			return
 		case <-time.After(bootstrapDelay):
 		}
-		if n.view.table.Load() != nil && n.view.targetsListed.Load() {
+		if n.view.isListed() {
 			return
 		}
 		if lists := n.readPeers(ctx); len(lists) > 0 {
--- a/internal/operator/gatewaynode/rollout.go
+++ b/internal/operator/gatewaynode/rollout.go
@@ -38,6 +38,7 @@
 		}
 	}
 	v.rollouts.RetainOrders(v.cfg.Now(), services)
+	v.rolloutsListed.Store(true)
 	v.onRollout()
 }
 
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -77,6 +77,7 @@
 	// nodeListChanged is when the list of nodes last changed.
 	nodeListChanged time.Time
 	targetsListed   atomic.Bool
+	rolloutsListed  atomic.Bool
 	// tableLoaded is closed once there is a table.
 	tableLoaded chan struct{}
 	// nodesListed is closed once the nodes' entries have been listed; listOnce guards it.
@@ -139,6 +140,11 @@
 	apply   func(object.Event)
 }
 
+// isListed reports whether the node has read what it needs to serve requests.
+func (v *fleetView) isListed() bool {
+	return v.table.Load() != nil && v.targetsListed.Load() && (!v.rollouts.IsEnabled() || v.rolloutsListed.Load())
+}
+
 // handlers returns the handler of every kind that a node follows.
 func (v *fleetView) handlers() map[string]kindHandler {
 	p := v.cfg.Platform
--- a/internal/wire/dispatch/rollout.go
+++ b/internal/wire/dispatch/rollout.go
@@ -15,7 +15,7 @@
 // knows the results that they hold.
 func (d *Dispatcher) pauseForRollout(now time.Time, s *shardScheduler, targets []registry.Target, pauses map[string]time.Time) {
 	profile, ok := d.batchProfile(s.service)
-	if !ok || !d.cfg.Rollouts.IsActive(s.service) {
+	if !ok || !d.cfg.Rollouts.IsActive(now, s.service) {
 		return
 	}
 	permitted := map[string]bool{}
