--- a/internal/operator/gatewaynode/rollout.go
+++ b/internal/operator/gatewaynode/rollout.go
@@ -33,9 +33,9 @@
 func (v *fleetView) replaceRollouts(l object.List) {
 	services := map[string]bool{}
 	for _, o := range l.Items {
-		if service, ok := v.setRollout(o); ok {
-			services[service] = true
-		}
+		// An object that cannot be read now neither starts nor ends a rollout; orders have the names of their services.
+		services[o.Name] = true
+		v.setRollout(o)
 	}
 	v.rollouts.RetainOrders(v.cfg.Now(), services)
 	v.rolloutsListed.Store(true)
@@ -52,12 +52,12 @@
 	v.setRollout(e.Object)
 }
 
-// setRollout takes in an order; it returns false if its object cannot be read.
-func (v *fleetView) setRollout(o object.Object) (service string, ok bool) {
+// setRollout takes in an order, unless its object cannot be read.
+func (v *fleetView) setRollout(o object.Object) {
 	order, status, err := v.cfg.Platform.ParseRollout(o)
 	if err != nil {
 		v.logUnreadable(o, err)
-		return "", false
+		return
 	}
 	v.logReadable(o)
 	p, isNew := v.rollouts.SetOrder(v.cfg.Now(), order, status)
@@ -67,7 +67,6 @@
 		}).Info("rollout: order or state has changed")
 	}
 	v.onRollout()
-	return order.Service, true
 }
 
 // writeRollout stores a state of a rollout if the stored object is still the one that the node has read.
@@ -82,11 +81,11 @@
 	var conflict *object.ConflictError
 	if errors.As(err, &conflict) {
 		// Another node has written, or the answer to an earlier write of this node was lost.
-		v.adoptRollout(conflict.Current)
+		v.adoptRollout(conflict.Current, p.Order)
 		return err
 	}
 	if err == nil {
-		v.adoptRollout(o)
+		v.adoptRollout(o, p.Order)
 	}
 	return err
 }
@@ -97,20 +96,30 @@
 	return err == nil && stored.Is(order) && (status.Version != order.Version || !status.State.IsFinal())
 }
 
-// adoptRollout takes in an object that the store has returned, unless a later one is known.
-func (v *fleetView) adoptRollout(o object.Object) {
+// adoptRollout takes in the state of an order in an object that the store has returned, unless a later one is known.
+//
+// Another order is left to the watch: events from before it may still arrive, and would be taken for a return to the earlier order. The
+// version of the list stays, since the changes of other objects up to that of this one have not been seen.
+func (v *fleetView) adoptRollout(o object.Object, order rollout.Order) {
 	v.updateMu.Lock()
 	defer v.updateMu.Unlock()
+	stored, _, err := v.cfg.Platform.ParseRollout(o)
+	if err != nil || !stored.Is(order) {
+		return
+	}
 	v.mu.Lock()
 	c := v.cached[v.cfg.Platform.RolloutKind]
-	isKnown := c != nil && o.Version <= c.version
-	v.mu.Unlock()
-	if o.Name == "" || isKnown {
+	known, ok := object.Object{}, false
+	if c != nil {
+		known, ok = c.objects[o.Name]
+	}
+	if !ok || o.Version <= known.Version {
+		v.mu.Unlock()
 		return
 	}
-	e := object.Event{Type: object.Put, Object: o}
-	v.cacheEvent(v.cfg.Platform.RolloutKind, e)
-	v.applyRollout(e)
+	c.objects[o.Name] = o
+	v.mu.Unlock()
+	v.applyRollout(object.Event{Type: object.Put, Object: o})
 }
 
 // cachedObject returns an object as it was last read.
