--- a/internal/wire/rollout/follower.go
+++ b/internal/wire/rollout/follower.go
@@ -66,8 +66,10 @@
 	writes     map[string]writeState
 }
 
-// writeState is what a node knows of its attempts to write the state of a rollout.
+// writeState is what a node knows of its attempts to write a state of an order. Those to write another one say nothing of it.
 type writeState struct {
+	order     rollout.Order
+	state     rollout.State
 	isRunning bool
 	failures  int
 	notBefore time.Time
@@ -232,10 +234,14 @@
 	service := p.Order.Service
 	f.mu.Lock()
 	state := f.writes[service]
-	if state.isRunning || now.Before(state.notBefore) {
+	isSame := state.state == w.State && state.order.Is(p.Order)
+	if state.isRunning || (isSame && now.Before(state.notBefore)) {
 		f.mu.Unlock()
 		return
 	}
+	if !isSame {
+		state = writeState{order: p.Order, state: w.State}
+	}
 	state.isRunning = true
 	f.writes[service] = state
 	f.mu.Unlock()
@@ -255,7 +261,7 @@
 		f.cfg.Meter.CountRolloutWrite(service, string(w.State), result)
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		next := writeState{notBefore: f.cfg.Now().Add(writeRetry)}
+		next := writeState{order: p.Order, state: w.State, notBefore: f.cfg.Now().Add(writeRetry)}
 		if err != nil {
 			next.failures = state.failures + 1
 			next.notBefore = f.cfg.Now().Add(min(maxWriteRetry, writeRetry<<min(state.failures, 8)))
