--- a/internal/fleet/rollout/evidence.go
+++ b/internal/fleet/rollout/evidence.go
@@ -178,7 +178,8 @@
 func (e Evidence) With(now time.Time, r Report) Evidence {
 	key := runKey{r.Node, r.StartedAt}
 	known, ok := e.reports[key]
-	if !r.Order.Is(e.order) || (ok && r.Sum.Requests < known.report.Sum.Requests) {
+	// The time since the order tells reports apart that count the same requests: one from before a retry began, or a response came.
+	if !r.Order.Is(e.order) || (ok && (r.Sum.Requests < known.report.Sum.Requests || r.Elapsed < known.report.Elapsed)) {
 		return e
 	}
 	reports := maps.Clone(e.reports)
@@ -213,14 +214,16 @@
 
 // IsDrained reports whether none of the nodes has a request running at another version, nor will send one there.
 func (e Evidence) IsDrained(now time.Time, nodes []string) bool {
-	drained := map[string]bool{}
+	// A node that has restarted may send to other versions again, whatever its run before has reported.
+	latest := map[string]heardReport{}
 	for k, h := range e.reports {
-		if now.Sub(h.at) <= reportLifetime && h.report.IsShifted && h.report.OldRunning == 0 {
-			drained[k.node] = true
+		if k.startedAt >= latest[k.node].report.StartedAt {
+			latest[k.node] = h
 		}
 	}
 	for _, n := range nodes {
-		if !drained[n] {
+		h, ok := latest[n]
+		if !ok || now.Sub(h.at) > reportLifetime || !h.report.IsShifted || h.report.OldRunning > 0 {
 			return false
 		}
 	}
