--- a/internal/fleet/rollout/collect.go
+++ b/internal/fleet/rollout/collect.go
@@ -63,6 +63,7 @@
 	if t == nil {
 		return Report{}, false, false
 	}
+	t.resume(now)
 	return k.report(now, t), t.hasNews, true
 }
 
--- a/internal/fleet/rollout/keeper.go
+++ b/internal/fleet/rollout/keeper.go
@@ -50,6 +50,8 @@
 	evidence Evidence
 	// fleet and local are the earlier sums to compare with, of the whole fleet and of this node.
 	fleet, local marks
+	// seenAt is when the node last looked at the rollout.
+	seenAt time.Time
 	// hasNews is set if a request has failed at the new version since the last report.
 	hasNews bool
 }
@@ -85,7 +87,7 @@
 		if state == "" {
 			began = time.Time{}
 		}
-		t = &tracked{progress: NewProgress(now, o, began), evidence: NewEvidence(o)}
+		t = &tracked{progress: NewProgress(now, o, began), evidence: NewEvidence(o), seenAt: now}
 		k.rollouts[o.Service] = t
 		delete(k.withdrawn[o.Service], o.Version)
 	}
@@ -227,7 +229,17 @@
 	return list
 }
 
+// resume records that the node looks at the rollout at now. A node that has not done so for long was frozen: others may have left the
+// version since then.
+func (t *tracked) resume(now time.Time) {
+	if now.Sub(t.seenAt) > evidenceLifetime {
+		t.progress = t.progress.WithoutShift()
+	}
+	t.seenAt = now
+}
+
 func (k *Keeper) advance(now time.Time, t *tracked, targets []registry.Target) {
+	t.resume(now)
 	hasTargets := false
 	for _, x := range targets {
 		hasTargets = hasTargets || (x.Software == t.progress.Order.Version && !x.Cold(now))
@@ -317,6 +329,7 @@
 }
 
 func (t *tracked) begin(now time.Time, l Limits, r SendRequest) bool {
+	t.resume(now)
 	isNew := r.Target.Software == t.progress.Order.Version
 	choice := t.progress.Choose(now, l, t.own, r.Count)
 	if isNew && (choice == OldOnly || (choice == CanariesFirst && r.IsRetry)) {
--- a/internal/fleet/rollout/keeper_test.go
+++ b/internal/fleet/rollout/keeper_test.go
@@ -195,3 +195,29 @@
 		t.Errorf("got %d targets, %t without an order, want 2", n, ok)
 	}
 }
+
+// TestFrozenNodeHearsEvidenceFirst guards against a node that was frozen after the shift and goes on with a version that the others have
+// left. A node that is only cut off stays with the new version, since the targets of the others may have been stopped.
+func TestFrozenNodeHearsEvidenceFirst(t *testing.T) {
+	for _, isFrozen := range []bool{false, true} {
+		k := newTestKeeper("n1")
+		k.SetOrder(testBegin, testOrder, Status{})
+		at := testBegin.Add(4 * time.Second)
+		k.Learn(at, testOrder, Reply{IsKnown: true, Elapsed: 4 * time.Second})
+		k.Decide(at, "svc", 1, testNodes, testTargets(2))
+		for end := at.Add(10 * time.Second); at.Before(end); at = at.Add(100 * time.Millisecond) {
+			if !isFrozen {
+				k.Report(at, "svc")
+			}
+		}
+		send := SendRequest{Target: testTargets(1)[1], Route: "chat", Count: 1}
+		if _, got := k.Begin(at, send); got == isFrozen {
+			t.Errorf("frozen %t: got a request to the new version permitted %t, want %t", isFrozen, got, !isFrozen)
+		}
+		k.Learn(at, testOrder, Reply{IsKnown: true, Elapsed: 14 * time.Second})
+		k.Lists(at, "svc", testTargets(2), 1, false)
+		if _, got := k.Begin(at, send); !got {
+			t.Errorf("frozen %t: got the new version refused after the evidence has been heard", isFrozen)
+		}
+	}
+}
--- a/internal/fleet/rollout/progress.go
+++ b/internal/fleet/rollout/progress.go
@@ -113,6 +113,12 @@
 	return p
 }
 
+// WithoutShift returns the progress of a node that does not know any more whether the new version may take all requests.
+func (p Progress) WithoutShift() Progress {
+	p.isShifted = false
+	return p
+}
+
 // Step is what a node does with the requests of a service in a rollout.
 type Step string
 
