--- a/internal/fleet/rollout/progress.go
+++ b/internal/fleet/rollout/progress.go
@@ -52,12 +52,14 @@
 	isShifted bool
 }
 
-// NewProgress returns the progress of an order that a node sees at now. began is when another node has seen it, zero if none is known.
+// NewProgress returns the progress of an order that a node sees at now. began is when another node has seen it, zero if none is known;
+// what the fleet has learnt since then must be heard before the new version gets anything from this node.
 func NewProgress(now time.Time, o Order, began time.Time) Progress {
 	p := Progress{Order: o, Began: now, heardAt: now}
 	if !began.IsZero() {
 		// The writer's clock may be wrong, but the order is not from the future, nor is it treated as over without evidence.
-		p.Began = now.Add(-min(max(0, now.Sub(began)), o.Duration-o.lead()))
+		p.Began = now.Add(-min(max(0, now.Sub(began)), max(0, o.Duration-o.lead())))
+		p.heardAt = time.Time{}
 	}
 	return p
 }
@@ -86,9 +88,17 @@
 	return p
 }
 
-// WithHeard returns the progress after the node has heard the fleet's evidence at now, which counts the time since the order.
-func (p Progress) WithHeard(now time.Time, elapsed time.Duration) Progress {
-	p.heardAt = now
+// WithHeard returns the progress after the node has heard the fleet's evidence, as it was at a time. A node that hears only itself, or
+// few others, has not.
+func (p Progress) WithHeard(at time.Time) Progress {
+	if at.After(p.heardAt) {
+		p.heardAt = at
+	}
+	return p
+}
+
+// WithElapsed returns the progress after another node has told how long ago the order was.
+func (p Progress) WithElapsed(now time.Time, elapsed time.Duration) Progress {
 	if began := now.Add(-elapsed); began.Before(p.Began) {
 		p.Began = began
 	}
@@ -103,6 +113,12 @@
 	return p
 }
 
+// WithoutShift returns the progress of a node that does not know any more whether the new version may take all requests.
+func (p Progress) WithoutShift() Progress {
+	p.isShifted = false
+	return p
+}
+
 // Step is what a node does with the requests of a service in a rollout.
 type Step string
 
--- a/internal/wire/rollout/follower.go
+++ b/internal/wire/rollout/follower.go
@@ -66,8 +66,10 @@
 	writes     map[string]writeState
 }
 
-// writeState is what a node knows of its attempts to write the state of a rollout.
+// writeState is what a node knows of its attempts to write a state of an order. Those to write another one say nothing of it.
 type writeState struct {
+	order     rollout.Order
+	state     rollout.State
 	isRunning bool
 	failures  int
 	notBefore time.Time
@@ -92,7 +94,7 @@
 	}
 }
 
-// Run takes rollouts through their steps until the context ends. It sleeps while there are none.
+// Run takes rollouts through their steps until the context ends. It sleeps while there are none and no version is withdrawn.
 func (f *Follower) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	ticker.Stop()
@@ -109,8 +111,7 @@
 		for _, p := range list {
 			f.advance(ctx, p)
 		}
-		f.cfg.Keeper.ForgetGone(f.cfg.Registry())
-		if len(list) == 0 {
+		if hasWithdrawn := f.cfg.Keeper.ForgetGone(f.cfg.Now(), f.cfg.Registry()); len(list) == 0 && !hasWithdrawn {
 			ticker.Stop()
 		}
 	}
@@ -121,11 +122,12 @@
 	now := f.cfg.Now()
 	service := p.Order.Service
 	ranked := f.collectors(now, service)
+	r := f.cfg.Registry()
 	if report, isUrgent, ok := f.cfg.Keeper.Report(now, service); ok && f.isReportDue(now, service, isUrgent) {
 		f.cfg.Keeper.Sent(service)
 		for _, name := range ranked[:min(len(ranked), collectors)] {
 			if name == f.cfg.Self {
-				f.cfg.Keeper.Receive(now, report)
+				f.cfg.Keeper.Receive(now, report, r.NodeNames())
 				continue
 			}
 			go f.tell(ctx, name, report)
@@ -135,7 +137,7 @@
 	if rank < 0 {
 		return
 	}
-	p, situation, action := f.cfg.Keeper.Decide(now, service, rank, f.cfg.Registry().NodeNames())
+	p, situation, action := f.cfg.Keeper.Decide(now, service, rank, r.NodeNames(), r.Usable(service))
 	f.logStep(now, p, situation)
 	if w, ok := action.(rollout.Write); ok {
 		f.write(ctx, now, p, w, situation)
@@ -232,10 +234,14 @@
 	service := p.Order.Service
 	f.mu.Lock()
 	state := f.writes[service]
-	if state.isRunning || now.Before(state.notBefore) {
+	isSame := state.state == w.State && state.order.Is(p.Order)
+	if state.isRunning || (isSame && now.Before(state.notBefore)) {
 		f.mu.Unlock()
 		return
 	}
+	if !isSame {
+		state = writeState{order: p.Order, state: w.State}
+	}
 	state.isRunning = true
 	f.writes[service] = state
 	f.mu.Unlock()
@@ -255,7 +261,7 @@
 		f.cfg.Meter.CountRolloutWrite(service, string(w.State), result)
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		next := writeState{notBefore: f.cfg.Now().Add(writeRetry)}
+		next := writeState{order: p.Order, state: w.State, notBefore: f.cfg.Now().Add(writeRetry)}
 		if err != nil {
 			next.failures = state.failures + 1
 			next.notBefore = f.cfg.Now().Add(min(maxWriteRetry, writeRetry<<min(state.failures, 8)))
@@ -276,8 +282,9 @@
 // Tell takes in another node's report. Only nodes of the fleet are heard, which bounds what is kept.
 func (s server) Tell(_ context.Context, m *rolloutpb.Report) (*rolloutpb.Reply, error) {
 	cfg := s.follower.cfg
-	if _, ok := cfg.Registry().Node(m.Node); !ok {
+	r := cfg.Registry()
+	if _, ok := r.Node(m.Node); !ok {
 		return toReply(rollout.Reply{}), nil
 	}
-	return toReply(cfg.Keeper.Receive(cfg.Now(), fromReport(m))), nil
+	return toReply(cfg.Keeper.Receive(cfg.Now(), fromReport(m), r.NodeNames())), nil
 }
