--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -32,6 +32,8 @@
 	// the others look for one.
 	settleTime  = 600 * time.Millisecond
 	roleTimeout = 1200 * time.Millisecond
+	// rolloutPatience is how long orders of rollouts are not read from the store after a relay was lost.
+	rolloutPatience = 1500 * time.Millisecond
 	// lossSpread is longer than any watch but that of the nodes' objects.
 	lossSpread = 3 * time.Second
 )
@@ -147,9 +149,10 @@
 type pausingStore struct {
 	object.Store
 	source *changeSource
-	// nodeKind is the kind that a node watches before it knows its relay.
-	nodeKind string
-	now      func() time.Time
+	// nodeKind is the kind that a node watches before it knows its relay, rolloutKind the one that can wait for the next relay.
+	nodeKind, rolloutKind string
+
+	now func() time.Time
 	// isUnavailable reports whether the store does not answer.
 	isUnavailable func() bool
 	// listPurpose is what the next list is for.
@@ -195,7 +198,7 @@
 		}
 	}
 	if mode == fromRelay {
-		if err := s.source.awaitMode(ctx, fromStore); err != nil {
+		if err := s.awaitRelayLoss(ctx, kind); err != nil {
 			return err
 		}
 		s.listPurpose = object.PurposeTakeOver
@@ -236,6 +239,22 @@
 	return err
 }
 
+// awaitRelayLoss waits until a kind has to be read from the store because the node has lost its relay.
+//
+// All followers of a relay lose it at once, and most follow the next one within a second. Verdicts on rollouts pass between nodes, so that
+// the orders can be late by that time.
+func (s *pausingStore) awaitRelayLoss(ctx context.Context, kind string) error {
+	for {
+		if err := s.source.awaitMode(ctx, fromStore); err != nil || kind != s.rolloutKind {
+			return err
+		}
+		pause(ctx, rolloutPatience)
+		if mode, _ := s.source.state(); mode != fromRelay {
+			return ctx.Err()
+		}
+	}
+}
+
 // followRelays follows a relay whenever there is a fresh one, and otherwise lets the node read the store.
 func (v *fleetView) followRelays(ctx context.Context) {
 	search := time.After(relayInitialDelay + rand.N(relayInitialDelay/4))
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -162,7 +162,7 @@
 
 func (v *fleetView) runInformer(ctx context.Context, kind string, h kindHandler) {
 	store := &pausingStore{
-		Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind, now: v.cfg.Now, listPurpose: object.PurposeStart,
+		Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind, rolloutKind: v.cfg.Platform.RolloutKind, now: v.cfg.Now, listPurpose: object.PurposeStart,
 		isUnavailable: func() bool {
 			v.mu.Lock()
 			defer v.mu.Unlock()
