--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -121,6 +121,13 @@
 	m.scope.Tagged(map[string]string{"service": service}).Gauge("stage_waiting").Update(float64(pieces))
 }
 
+// SetWorkTimes sets the least and the greatest factor by which the stage targets of a service take longer than its batch profile says.
+func (m *Meter) SetWorkTimes(service string, least, greatest float64) {
+	s := m.scope.Tagged(map[string]string{"service": service})
+	s.Gauge("stage_work_time_least").Update(least)
+	s.Gauge("stage_work_time_greatest").Update(greatest)
+}
+
 // CountStoreChange counts each time that the store becomes unavailable or available again for a kind of object.
 func (m *Meter) CountStoreChange(kind, change string) {
 	m.scope.Tagged(map[string]string{"kind": kind, "change": change}).Counter("store_changes").Inc(1)
--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -8,6 +8,7 @@
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/speed"
 )
 
 // Scheduler forms batch calls from the pieces that wait for a service, or for its targets in one data centre.
@@ -20,6 +21,9 @@
 	onTimeShare float64
 	// lastCall is when the last call was started.
 	lastCall time.Time
+	// basis says why calls are placed by the speeds of the targets. heldUntil is when to look again at pieces that wait for faster targets.
+	basis     speed.Basis
+	heldUntil time.Time
 }
 
 // activePeriod is how long after a call further pieces are expected.
@@ -35,7 +39,7 @@
 	Target  registry.Target
 	Pieces  []Piece
 	Started time.Time
-	// Expected is the expected duration of the call, from the batch profile and the target's measured slowness.
+	// Expected is the expected duration of the call, from the batch profile and the target's measured slowness or speed.
 	Expected time.Duration
 	// QueueLength is the number of pieces that still wait.
 	QueueLength int
@@ -45,7 +49,10 @@
 	UntrackedBytes int64
 	// StartsAtOnce is set if the target is expected to start the call at once, and so to fetch its inputs soon.
 	StartsAtOnce bool
-	state        *targetState
+	// Speed is what was known of the target's speed if calls are placed by it, according to Basis.
+	Speed speed.Speed
+	Basis speed.Basis
+	state *targetState
 }
 
 // Requests lists the requests whose pieces are in the call as REQUEST/STAGE, once for each group.
@@ -216,23 +223,27 @@
 }
 
 // StartRound starts a round of NextCall calls, in which every target is considered again.
-func (s *Scheduler) StartRound() { clear(s.skipped) }
+func (s *Scheduler) StartRound() {
+	clear(s.skipped)
+	s.heldUntil = time.Time{}
+}
 
 // NextCall forms the next call from the waiting pieces; false if no call should start now.
 func (s *Scheduler) NextCall(now time.Time, profile route.BatchProfile) (*Call, bool) {
+	s.updateBasis(profile)
 	for s.waiting.Len() > 0 {
-		st := s.nextTarget(now, profile)
+		st, idle := s.nextTarget(now, profile)
 		if st == nil {
 			return nil, false
 		}
 		space := profile.ResultSpace - st.usedBytes(now)
-		pieces := s.waiting.Take(now, profile.MaxSize, space, st.target.Datacentre, s.targetsByDatacentre(now))
+		pieces := s.waiting.Take(now, s.callSize(now, profile, st, idle), space, st.target.Datacentre, s.targetsByDatacentre(now))
 		if len(pieces) == 0 {
 			s.skipped[st.target.ID] = true
 			continue
 		}
 		s.recordOnTime(now, profile, pieces)
-		expected := time.Duration(float64(profile.CallDuration(len(pieces))) * st.slowness(now))
+		expected := s.expected(now, profile, st, len(pieces))
 		var bytes int64
 		for _, p := range pieces {
 			bytes += p.ResultBytes
@@ -240,6 +251,7 @@
 		c := &Call{
 			Target: st.target, Pieces: pieces, Started: now, Expected: expected, QueueLength: s.waiting.Len(),
 			HeldBytes: st.heldBytes, UntrackedBytes: st.untrackedBytes(now), StartsAtOnce: st.startsAtOnce(now), state: st,
+			Speed: st.speed, Basis: s.basis,
 		}
 		s.lastCall = now
 		st.busy = true
@@ -266,14 +278,19 @@
 	s.onTimeShare += (float64(n)/float64(profile.MaxSize) - s.onTimeShare) / float64(onTimeCalls*len(s.targets))
 }
 
-// nextTarget chooses the target of the next call, nil if none should start one.
-func (s *Scheduler) nextTarget(now time.Time, profile route.BatchProfile) *targetState {
-	var best *targetState
+// nextTarget chooses the target of the next call, nil if none should start one, and returns how many could.
+func (s *Scheduler) nextTarget(now time.Time, profile route.BatchProfile) (best *targetState, idle int) {
 	var bestAvoided bool
+	var list []*targetState
 	for _, st := range s.targets {
 		if st.busy || !st.ready(now) || !st.hasGrant(now) || s.skipped[st.target.ID] || st.unavailable(now) || profile.ResultSpace-st.usedBytes(now) <= 0 {
 			continue
 		}
+		idle++
+		if s.basis != speed.None {
+			list = append(list, st)
+			continue
+		}
 		avoided := s.avoids(now, profile, st)
 		if avoided && !s.hasExcess(now, profile, st) {
 			continue
@@ -282,7 +299,10 @@
 			best, bestAvoided = st, avoided
 		}
 	}
-	return best
+	if s.basis != speed.None {
+		best = s.earliest(now, profile, list)
+	}
+	return best, idle
 }
 
 // avoids reports whether other targets go before one that has become slow. If it names a limit it is avoided only while its
@@ -311,7 +331,7 @@
 func (s *Scheduler) targetsByDatacentre(now time.Time) map[string]datacentreTargets {
 	list := map[string]datacentreTargets{}
 	for _, st := range s.targets {
-		if st.isSlow(now) {
+		if s.isSlow(now, st) {
 			continue
 		}
 		entry, ok := list[st.target.Datacentre]
@@ -356,7 +376,8 @@
 	c.state.failures = 0
 	c.state.slowRatio = slowRatio(now.Sub(c.Started)-networkMargin, profile.CallDuration(len(c.Pieces)))
 	c.state.measuredAt = now
-	c.state.recordSharing(now, c.state.slowRatio, r)
+	c.state.recordSharing(now, c.slowRatio(now, profile), r)
+	c.recordSpeed(now, profile, r)
 	var added int64
 	for i, p := range c.Pieces {
 		switch r.Results[i].Reason {
--- a/internal/serving/batch/target_state.go
+++ b/internal/serving/batch/target_state.go
@@ -5,6 +5,7 @@
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
+	"github.com/lacewingdrift/lacewingdrift/internal/serving/speed"
 )
 
 const (
@@ -74,6 +75,11 @@
 	// had none.
 	sharedAt time.Time
 	aloneAt  time.Time
+	// speed is how long work takes at the target. At reportedAt it had calls of others, as many as it reported, and so many slots.
+	speed      speed.Speed
+	others     int
+	slots      int
+	reportedAt time.Time
 }
 
 // Limit is the limit of a target; the zero value is none.
--- a/internal/wire/dispatch/dispatcher.go
+++ b/internal/wire/dispatch/dispatcher.go
@@ -72,6 +72,8 @@
 	SetQueuedPieces(service string, pieces int)
 	// CountCrash counts a crash of a target of a service under a call, by how far its response had come.
 	CountCrash(service, progress string)
+	// SetWorkTimes sets the least and the greatest factor by which the targets of a service take longer than its batch profile says.
+	SetWorkTimes(service string, least, greatest float64)
 }
 
 // Config holds the dependencies of a Dispatcher.
@@ -176,6 +178,7 @@
 	shard   string
 	// recheckScheduled is set while a recheck is pending.
 	recheckScheduled bool
+	placement
 }
 
 // group is the state of a group that has pieces without an outcome.
@@ -372,6 +375,7 @@
 	d.dropQuarantined(now, s)
 	s.StartRound()
 	defer d.claimTargets(now, s, profile)
+	defer d.scheduleHeldCheck(now, s)
 	for {
 		c, ok := s.NextCall(now, profile)
 		if !ok {
@@ -415,6 +419,7 @@
 		"service": s.service, "target": c.Target.ID, "datacentre": c.Target.Datacentre, "revision": c.Target.Version.Revision(), "pieces": len(c.Pieces), "places": profile.MaxSize,
 		"waiting": c.QueueLength, "held": c.HeldBytes, "hidden": c.UntrackedBytes, "sure": c.StartsAtOnce, "expected_ms": c.Expected.Milliseconds(), "requests": c.Requests(),
 	}
+	addSpeedFields(fields, c)
 	if limit := d.cfg.Notices.Board().Limit(c.Started, c.Target.Run()); limit.IsSet() {
 		fields["limit"] = limit.PerSecond
 	}
--- a/internal/wire/dispatch/dispatcher_test.go
+++ b/internal/wire/dispatch/dispatcher_test.go
@@ -29,7 +29,9 @@
 	freed []string
 	space func() (batch.Space, error)
 	// otherCalls is the number of calls of other dispatchers that the target reports.
-	otherCalls  int
+	otherCalls int
+	// workTime returns the work time that a target reports; it may be nil.
+	workTime    func(t registry.Target) float64
 	run         func(n int, t registry.Target, pieces []batch.Piece) ([]batch.Result, error)
 	resultCount int
 }
@@ -47,11 +49,19 @@
 	f.mu.Unlock()
 	if f.run != nil {
 		if out, err := f.run(n, t, pieces); out != nil || err != nil {
-			return batch.Reply{Results: out, Running: f.otherCalls}, err
+			return f.reply(t, out), err
 		}
 	}
 	time.Sleep(testProfile.CallDuration(len(pieces)))
-	return batch.Reply{Results: f.newResults(t, pieces), Running: f.otherCalls}, nil
+	return f.reply(t, f.newResults(t, pieces)), nil
+}
+
+func (f *fakeTargets) reply(t registry.Target, results []batch.Result) batch.Reply {
+	r := batch.Reply{Results: results, Running: f.otherCalls}
+	if f.workTime != nil {
+		r.WorkTime = f.workTime(t)
+	}
+	return r
 }
 
 func (f *fakeTargets) newResults(t registry.Target, pieces []batch.Piece) []batch.Result {
@@ -116,6 +126,7 @@
 func (noMeter) RecordRejectedGroup(string, string)                      {}
 func (noMeter) SetQueuedPieces(string, int)                             {}
 func (noMeter) CountCrash(string, string)                               {}
+func (noMeter) SetWorkTimes(string, float64, float64)                   {}
 
 func target(id, datacentre string) registry.Target {
 	return registry.Target{ID: id, Service: "s", Address: id + ":1", Datacentre: datacentre, State: registry.Ready}
--- a/internal/wire/dispatch/settle.go
+++ b/internal/wire/dispatch/settle.go
@@ -57,11 +57,19 @@
 	}
 	took := now.Sub(c.Started)
 	d.cfg.Meter.RecordStageCall(s.service, "made", len(c.Pieces), profile.MaxSize, took)
-	d.cfg.Log.WithFields(logrus.Fields{
+	least, greatest := s.SpeedRange(now)
+	d.cfg.Meter.SetWorkTimes(s.service, least, greatest)
+	fields := logrus.Fields{
 		"service": s.service, "target": c.Target.ID, "pieces": len(c.Pieces), "made": counts[batch.Completed], "late": counts[batch.Late],
 		"gone": counts[batch.InputLost], "full": counts[batch.NoSpace], "failed": counts[batch.Failed], "ms": took.Milliseconds(),
 		"expected_ms": c.Expected.Milliseconds(), "running": r.Running, "at_target": r.Waiting, "requests": c.Requests(),
-	}).Info("desk: stage call ended")
+	}
+	addSpeedFields(fields, c)
+	if r.WorkTime > 0 {
+		fields["reported"] = r.WorkTime
+	}
+	d.cfg.Log.WithFields(fields).Info("desk: stage call ended")
+	d.logBasis(now, s)
 }
 
 // settle processes the result of one piece; the lock is held.
