--- /dev/null
+++ b/internal/bench/simulation/heavy_test.go
@@ -0,0 +1,62 @@
+package simulation
+
+import (
+	"os"
+	"testing"
+	"time"
+)
+
+// heavyDeployment returns a deployment with 25 nodes whose stages are busy for about 0.75 of the time, and whose targets have the given part of their
+// usual room for results.
+func heavyDeployment(rate, room float64) Deployment {
+	d := BatchingDeployment()
+	d.Nodes = 25
+	for i := range d.Kinds {
+		d.Kinds[i].Rate *= rate
+	}
+	for i := range d.Services {
+		d.Services[i].Batching.ResultSpace = int64(room * float64(d.Services[i].Batching.ResultSpace))
+	}
+	return d
+}
+
+// heavyScenario has bursts of one kind at a time of 2.1 to 2.6 times for 5 to 7 s.
+func heavyScenario(ownerLoss time.Duration) Scenario {
+	return Scenario{Duration: 45 * time.Second, OwnerLossAt: ownerLoss, Bursts: []Burst{
+		{"offer", 5 * time.Second, 7 * time.Second, 2.6}, {"plan", 18 * time.Second, 6 * time.Second, 2.4}, {"chat", 28 * time.Second, 5 * time.Second, 2.6},
+		{"offer", 36 * time.Second, 5 * time.Second, 2.1},
+	}}
+}
+
+// TestPrintHeavy prints the results of heavy runs for comparisons by hand.
+func TestPrintHeavy(t *testing.T) {
+	if os.Getenv("HEAVY") == "" {
+		t.Skip("set HEAVY to print the results")
+	}
+	losses := []time.Duration{0, 9 * time.Second}
+	switch os.Getenv("HEAVY") {
+	case "loss":
+		losses = losses[1:]
+	case "none":
+		losses = losses[:1]
+	}
+	for _, rate := range []float64{0.8, 1.1} {
+		for _, room := range []float64{1, 0.5} {
+			for _, loss := range losses {
+				var credit, wasted, used, noRoom, gone, n float64
+				var p95 time.Duration
+				kinds := map[string][4]int{}
+				for seed := uint64(1); seed <= 5; seed++ {
+					r := Run(Config{Deployment: heavyDeployment(rate, room), Scenario: heavyScenario(loss), Policy: Product, Seed: seed})
+					credit, wasted, used, noRoom, gone, n = credit+r.Credit, wasted+r.WastedSeconds, used+r.StageSeconds, noRoom+float64(r.NoRoom), gone+float64(r.InputGone), n+1
+					p95 += r.RefusedP95
+					for _, k := range r.Kinds {
+						x := kinds[k.Kind]
+						kinds[k.Kind] = [4]int{x[0] + k.Offered, x[1] + k.OnTime, x[2] + k.Late, x[3] + k.Failed}
+					}
+				}
+				t.Logf("rate %.2f room %.2f loss %5s: credit %.4f wasted %5.2f s of %.0f busy %.2f noroom %.0f gone %.0f refused p95 %s kinds %v", rate, room, loss, credit/n, wasted/n, used/n, used/n/15/45, noRoom/n, gone/n, p95/5, kinds)
+			}
+		}
+	}
+}
--- a/internal/bench/simulation/report.go
+++ b/internal/bench/simulation/report.go
@@ -32,6 +32,9 @@
 	// answered.
 	StageSeconds  float64 `json:"stageseconds"`
 	WastedSeconds float64 `json:"wasted"`
+	// NoRoom counts the pieces that a call did not make since their results found no room, InputGone those whose input was gone.
+	NoRoom    int `json:"noroom"`
+	InputGone int `json:"inputgone"`
 	// Fill is the used part of the capacity of all batch calls, BackloggedFill that of the calls that started while enough
 	// pieces waited to fill them.
 	Fill           float64 `json:"fill"`
--- a/internal/bench/simulation/stage.go
+++ b/internal/bench/simulation/stage.go
@@ -67,10 +67,12 @@
 			s.countTransfer(t.Datacentre, p.Inputs)
 			if !s.hasResults(p.Inputs) {
 				results[i].Reason = batch.InputLost
+				s.report.InputGone++
 				continue
 			}
 			if t.usedSpace+p.ResultBytes > profile.ResultSpace {
 				results[i].Reason = batch.NoSpace
+				s.report.NoRoom++
 				continue
 			}
 			results[i] = batch.Result{Handle: s.storeResult(t, p.ResultBytes), Datacentre: t.Datacentre}
--- a/internal/serving/batch/group.go
+++ b/internal/serving/batch/group.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // MaxPieces bounds the pieces of one stage of one request: far more than the calls of any service hold.
@@ -110,6 +112,9 @@
 	Failed Reason = "failed"
 )
 
+// ErrNoResults is the error of a call that its target has rejected, so that it holds no results of it.
+var ErrNoResults = merry.Sentinel("target made no results")
+
 // RejectedError reports that a group is not queued because it cannot be done in time.
 type RejectedError struct {
 	// Wait is the expected wait before the group's call would start, 0 if unknown.
--- /dev/null
+++ b/internal/serving/batch/room_test.go
@@ -0,0 +1,59 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
+)
+
+// TestResultsOfUnansweredCallHoldRoom guards against calls for whose results there is no room since the response to an earlier call was lost.
+func TestResultsOfUnansweredCallHoldRoom(t *testing.T) {
+	s := newTestScheduler("t1")
+	s.addPieces(4, 250)
+	c := startCall(t, s, start)
+	now := start.Add(time.Second)
+	c.Fail(now)
+	c.RecordUnanswered(now, testProfile)
+	now = now.Add(minBackoff)
+	s.addPieces(4, 250)
+	s.StartRound()
+	if _, ok := s.NextCall(now, testProfile); ok {
+		t.Error("got a call though the target may hold the results of the last one, want none")
+	}
+	s.RecordSpace(now, testProfile, c.Target, Space{Min: testProfile.ResultSpace, Max: testProfile.ResultSpace})
+	if got, want := len(startCall(t, s, now).Pieces), 4; got != want {
+		t.Errorf("target has reported its room: got a call of %d pieces, want %d", got, want)
+	}
+}
+
+// TestRoomIsKeptWhileTargetIsNotUsable guards against a second call beside one that runs, and against results that are no longer counted, when a
+// target is out of service for a moment; a restarted target holds none.
+func TestRoomIsKeptWhileTargetIsNotUsable(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		startedAt int64
+		wantHeld  int64
+	}{{"same run", 0, 500}, {"restarted", 7, 0}} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newTestScheduler("t1")
+			s.addPieces(2, 250)
+			c := startCall(t, s, start)
+			s.SetTargets(at(100), nil)
+			c.Complete(at(300), testProfile, newReply(c, 2))
+			target := c.Target
+			target.StartedAt = tt.startedAt
+			s.SetTargets(at(400), []registry.Target{target})
+			s.TargetsToProbe(at(400))
+			s.addPieces(1, 250)
+			s.StartRound()
+			next, ok := s.NextCall(at(400+60), testProfile)
+			if !ok {
+				t.Fatal("got no call, want one")
+			}
+			if next.HeldBytes != tt.wantHeld {
+				t.Errorf("got %d bytes held, want %d", next.HeldBytes, tt.wantHeld)
+			}
+		})
+	}
+}
--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -20,6 +20,8 @@
 	onTimeShare float64
 	// lastCall is when the last call was started.
 	lastCall time.Time
+	// left has the targets that may not be used now, by ID.
+	left map[string]*targetState
 }
 
 // activePeriod is how long after a call further pieces are expected.
@@ -27,7 +29,7 @@
 
 // NewScheduler returns a scheduler without targets.
 func NewScheduler() *Scheduler {
-	return &Scheduler{targets: map[string]*targetState{}, skipped: map[string]bool{}}
+	return &Scheduler{targets: map[string]*targetState{}, skipped: map[string]bool{}, left: map[string]*targetState{}}
 }
 
 // Call is one batch of pieces for one target.
@@ -70,17 +72,21 @@
 	for _, t := range targets {
 		usable[t.ID] = true
 		st, ok := s.targets[t.ID]
-		if !ok || st.target.StartedAt != t.StartedAt {
+		if !ok {
+			st = s.comeBack(now, t)
+		}
+		if st == nil || st.target.StartedAt != t.StartedAt {
 			st = &targetState{held: map[string]heldResult{}, added: now}
-			s.targets[t.ID] = st
 		}
+		s.targets[t.ID] = st
 		st.target = t
 	}
-	for id := range s.targets {
+	for id, st := range s.targets {
 		if !usable[id] {
-			delete(s.targets, id)
+			s.leave(now, st)
 		}
 	}
+	s.pruneLeft(now)
 }
 
 // SetPauses sets until when targets want no calls, by ID; the others take them.
@@ -388,14 +394,10 @@
 
 // ReleaseResults records that the target at an address no longer holds the results with these handles.
 func (s *Scheduler) ReleaseResults(address string, handles []string) {
-	for _, st := range s.targets {
-		if st.target.Address != address {
-			continue
-		}
-		for _, h := range handles {
-			if held, ok := st.held[h]; ok {
-				delete(st.held, h)
-				st.heldBytes -= held.bytes
+	for _, list := range []map[string]*targetState{s.targets, s.left} {
+		for _, st := range list {
+			if st.target.Address == address {
+				st.releaseResults(handles)
 			}
 		}
 	}
--- a/internal/serving/batch/target_state.go
+++ b/internal/serving/batch/target_state.go
@@ -63,6 +63,8 @@
 	untracked      int64
 	untrackedAt    time.Time
 	untrackedDecay time.Duration
+	// leftAt is when the target could no longer be used.
+	leftAt time.Time
 	// added is when the scheduler learned of the target, and probedAt when its space was last asked for. probed is set
 	// once the target has responded or the probe has failed.
 	added    time.Time
@@ -203,6 +205,16 @@
 	return s.heldBytes + s.untrackedBytes(now)
 }
 
+// releaseResults records that the target no longer holds the results with these handles.
+func (s *targetState) releaseResults(handles []string) {
+	for _, h := range handles {
+		if held, ok := s.held[h]; ok {
+			delete(s.held, h)
+			s.heldBytes -= held.bytes
+		}
+	}
+}
+
 // hasRoom reports whether the results at the target leave space for those of two more calls like the last one, so that none of them has to go
 // before its readers have ended.
 func (s *targetState) hasRoom(now time.Time, profile route.BatchProfile) bool {
--- a/internal/wire/dispatch/server.go
+++ b/internal/wire/dispatch/server.go
@@ -63,6 +63,10 @@
 	if err != nil {
 		return err
 	}
+	if out.Context().Err() != nil {
+		s.dispatcher.freeUndelivered(results)
+		return out.Context().Err()
+	}
 	if s.dispatcher.HasRoom(g, results) {
 		_ = out.Send(&deskpb.Progress{State: string(stateRoomy)})
 	}
@@ -70,7 +74,11 @@
 	for _, x := range results {
 		p.Results = append(p.Results, &deskpb.Result{Handle: x.Handle, Reason: string(x.Reason), Datacentre: x.Datacentre})
 	}
-	return out.Send(p)
+	if err := out.Send(p); err != nil {
+		s.dispatcher.freeUndelivered(results)
+		return err
+	}
+	return nil
 }
 
 // progressWithNews returns a message with the latest notices of targets.
--- a/internal/wire/dispatch/settle.go
+++ b/internal/wire/dispatch/settle.go
@@ -111,6 +111,7 @@
 // settleFailed puts the target of a failed call in back-off and retries its pieces; the lock is held.
 func (d *Dispatcher) settleFailed(now time.Time, s *shardScheduler, c *batch.Call, err error) {
 	backoff, failures := c.Fail(now)
+	d.recordUnanswered(now, s, c, err)
 	d.cfg.Meter.RecordStageCall(s.service, "failed", len(c.Pieces), len(c.Pieces), now.Sub(c.Started))
 	time.AfterFunc(backoff, d.Refresh)
 	d.cfg.Log.WithError(err).WithFields(logrus.Fields{
