--- a/internal/bench/simulation/group.go
+++ b/internal/bench/simulation/group.go
@@ -185,6 +185,9 @@
 	case batch.Completed:
 		s.markFetched(g, p.Index)
 		g.request.results[g.Stage][p.Index] = r
+		if at := s.clock.now.Add(sched.service.Batching.ResultTTL); g.request.expireAt[g.Stage].IsZero() {
+			g.request.expireAt[g.Stage] = at
+		}
 		if g.remaining--; g.remaining == 0 {
 			s.removeGroup(g)
 			g.request.ready[g.Stage] = true
--- a/internal/bench/simulation/heavy_test.go
+++ b/internal/bench/simulation/heavy_test.go
@@ -28,6 +28,15 @@
 	}}
 }
 
+// TestFewInputsAreGoneInBursts guards against calls whose pieces find their inputs gone: where room is short, results expire while their
+// readers wait.
+func TestFewInputsAreGoneInBursts(t *testing.T) {
+	r := Run(Config{Deployment: heavyDeployment(1.1, 0.5), Scenario: heavyScenario(0), Policy: Product, Seed: 1})
+	if got, want := r.InputGone, 20; got > want {
+		t.Errorf("got %d pieces without input, want at most %d", got, want)
+	}
+}
+
 // TestPrintHeavy prints the results of heavy runs for comparisons by hand.
 func TestPrintHeavy(t *testing.T) {
 	if os.Getenv("HEAVY") == "" {
--- a/internal/bench/simulation/request.go
+++ b/internal/bench/simulation/request.go
@@ -24,8 +24,10 @@
 	ready       []bool
 	dependents  []int
 	groups      []*group
-	ended       bool
-	spent       time.Duration
+	// expireAt is when the first result of each stage expires, zero for one without results.
+	expireAt []time.Time
+	ended    bool
+	spent    time.Duration
 }
 
 // caller is one user's request with its tries.
@@ -36,6 +38,16 @@
 	retriesAtOnce bool
 }
 
+// inputsExpireAt returns when the first input of a stage expires, the zero time if it has none.
+func (r *request) inputsExpireAt(stage int) (at time.Time) {
+	for _, d := range r.kind.Route.Stages[stage].DependsOn {
+		if x := r.expireAt[d]; !x.IsZero() && (at.IsZero() || x.Before(at)) {
+			at = x
+		}
+	}
+	return at
+}
+
 func (r *request) sharedPrefix() string { return r.kind.Route.Name + itoa(r.caller.arrival.prefix) }
 func (r *request) promptTokens() int    { return r.kind.UniqueTokens + r.kind.SharedTokens }
 
@@ -52,7 +64,7 @@
 	r := &request{
 		id: itoa(int(c.id>>1)) + "-" + itoa(c.tries), kind: k, caller: c, node: s.rand.IntN(s.deployment.Nodes),
 		objectiveAt: c.firstTryAt.Add(k.Route.LatencyObjective), deadline: c.firstTryAt.Add(k.Route.Timeout),
-		results: make([][]batch.Result, len(k.Route.Stages)), ready: make([]bool, len(k.Route.Stages)), dependents: route.DependentCounts(k.Route.Stages),
+		results: make([][]batch.Result, len(k.Route.Stages)), ready: make([]bool, len(k.Route.Stages)), expireAt: make([]time.Time, len(k.Route.Stages)), dependents: route.DependentCounts(k.Route.Stages),
 	}
 	s.requests[r.id] = r
 	s.clock.runAt(r.deadline, func() { s.failRequest(r, "timeout") })
@@ -115,6 +127,9 @@
 		Service: stage.Service, Request: r.id, Stage: index, Count: r.caller.pieceCounts[index], Inputs: inputs, ResultBytes: stage.ResultBytes,
 		Priority: r.kind.Route.Priority, StartByObjective: r.objectiveAt.Add(-remainingTime), StartByDeadline: r.deadline.Add(-remainingTime), PreferredDatacentre: preferred, TransferBytes: transferBytes, PreferUntil: s.stageGraph(r).PreferUntil(index, r.objectiveAt.Add(-remainingTime)),
 	}}
+	if at := r.inputsExpireAt(index); !at.IsZero() && at.Before(g.StartByDeadline) && s.policy != Naive {
+		g.StartByDeadline = at
+	}
 	g.remaining, g.unfetched, g.fetched = g.Count, g.Count, make([]bool, g.Count)
 	s.groups[g.id] = g
 	r.groups = append(r.groups, g)
--- a/internal/wire/gateway/stages.go
+++ b/internal/wire/gateway/stages.go
@@ -172,6 +172,7 @@
 	if len(group.Inputs) == 0 {
 		group.PieceKey = rs.PieceKey
 	}
+	group.StartByDeadline = sr.latestStart(i, group.StartByDeadline)
 	group.PreferredDatacentre, group.TransferBytes = sr.graph.PreferredDatacentre(i, sr.resultCounts(), sr.likelyDatacentre)
 	group.PreferUntil = sr.graph.PreferUntil(i, group.StartByObjective)
 	started := g.cfg.Now()
--- a/internal/wire/gateway/stages_test.go
+++ b/internal/wire/gateway/stages_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/catalog/route"
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/schedule"
@@ -46,3 +47,34 @@
 		})
 	}
 }
+
+// TestStageStartsBeforeItsInputsExpire guards against calls whose pieces find their inputs gone, since they have waited longer than these stay.
+func TestStageStartsBeforeItsInputsExpire(t *testing.T) {
+	now := time.Date(2026, 12, 6, 9, 0, 0, 0, time.UTC)
+	byDeadline := now.Add(6 * time.Second)
+	graph := schedule.StageGraph{
+		Stages:       []route.Stage{{Service: "a"}, {Service: "b"}, {Service: "c", DependsOn: []int{0, 1}}},
+		BatchProfile: func(string) route.BatchProfile { return route.BatchProfile{} },
+	}
+	for _, tt := range []struct {
+		name   string
+		expire [2]time.Duration
+		want   time.Duration
+	}{
+		{"no input expires", [2]time.Duration{}, 6 * time.Second},
+		{"one expires before the deadline", [2]time.Duration{9 * time.Second, 4 * time.Second}, 4 * time.Second},
+		{"all expire after the deadline", [2]time.Duration{9 * time.Second, 7 * time.Second}, 6 * time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			sr := newStageRun(graph, "")
+			for i, d := range tt.expire {
+				if d > 0 {
+					sr.expireAt[i] = now.Add(d)
+				}
+			}
+			if got := sr.latestStart(2, byDeadline).Sub(now); got != tt.want {
+				t.Errorf("got a start within %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
