--- a/internal/serving/batch/queue.go
+++ b/internal/serving/batch/queue.go
@@ -75,9 +75,10 @@
 // ExpireStarved removes and returns the pieces that will not start in time because of the pieces ahead of them.
 //
 // During a long burst, later but more urgent pieces displace others, and it is better to reject those at once than to
-// keep them until their deadline. spare is the share of the targets' call capacity that is left for late pieces.
-func (q *Queue) ExpireStarved(now time.Time, profile route.BatchProfile, free []Opening, spare float64) []Piece {
-	if len(free) == 0 || profile.MaxSize == 0 || (len(q.pieces) <= profile.MaxSize*len(free) && spare >= scarceShare) {
+// keep them until their deadline. spare is the share of the targets' call capacity that is left for late pieces, room the room for
+// results.
+func (q *Queue) ExpireStarved(now time.Time, profile route.BatchProfile, free []Opening, spare float64, room *roomTimeline) []Piece {
+	if len(free) == 0 || profile.MaxSize == 0 || (len(q.pieces) <= profile.MaxSize*len(free) && spare >= scarceShare && !room.isShort(q.pieces)) {
 		return nil
 	}
 	sort.SliceStable(q.pieces, func(i, j int) bool { return precedes(q.pieces[i], q.pieces[j], now, "") })
@@ -85,15 +86,17 @@
 	var starved []Piece
 	kept := q.pieces[:0]
 	for _, p := range q.pieces {
-		if now.After(p.StartByObjective) {
+		isLate := now.After(p.StartByObjective)
+		if isLate {
 			// Pieces that arrive later and can still meet their objective go ahead of this one.
 			calls.add(1/max(spare, minSpareShare) - 1)
 		}
-		if calls.start().After(p.StartByDeadline) {
+		if calls.start().After(p.StartByDeadline) || room.startAfter(p, isLate).After(p.StartByDeadline) {
 			starved = append(starved, p)
 			continue
 		}
 		calls.add(1)
+		room.add(p, isLate)
 		kept = append(kept, p)
 	}
 	q.pieces = kept
--- a/internal/serving/batch/queue_test.go
+++ b/internal/serving/batch/queue_test.go
@@ -130,12 +130,12 @@
 		p := piece(Group{Request: string(rune('a' + i)), StartByObjective: at(5000), StartByDeadline: at(900), Priority: i % 2})
 		q.Add(p)
 	}
-	got := names(q.ExpireStarved(start, profile, []Opening{{At: at(100)}}, 1))
+	got := names(q.ExpireStarved(start, profile, []Opening{{At: at(100)}}, 1, &roomTimeline{now: start, used: map[int64]int64{}}))
 	// Calls start at 100, 300, 500, 700 and 900 ms; two pieces fit into each.
 	if want := ""; got != want {
 		t.Errorf("got %q expired, want %q", got, want)
 	}
-	got = names(q.ExpireStarved(start, profile, []Opening{{At: at(400)}}, 1))
+	got = names(q.ExpireStarved(start, profile, []Opening{{At: at(400)}}, 1, &roomTimeline{now: start, used: map[int64]int64{}}))
 	// Calls start at 400, 600 and 800 ms.
 	if want := "dfhj"; got != want {
 		t.Errorf("got %q expired, want the least urgent, %q", got, want)
--- a/internal/serving/batch/room_test.go
+++ b/internal/serving/batch/room_test.go
@@ -87,3 +87,59 @@
 		t.Errorf("got calls %v with the later start and %v with the earlier one, want the same", calls[0], calls[1])
 	}
 }
+
+// TestLatePiecesWithoutRoomAreRejectedAtOnce replays a burst in which calls have places but targets no room: pieces that can still meet their
+// objective take all that is given back. It guards against late pieces that wait until their caller has left.
+func TestLatePiecesWithoutRoomAreRejectedAtOnce(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		bytes int64
+		want  int
+	}{
+		{"room for all", 10, 0},
+		{"room for those that are on time", 250, 4},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newTestScheduler("t1", "t2")
+			now := start
+			expired := 0
+			var late []time.Time
+			for round := range 12 {
+				s.addPieces(4, tt.bytes)
+				if round == 6 {
+					for range 4 {
+						s.Add(piece(Group{Request: "late", ResultBytes: tt.bytes, StartByObjective: at(1), StartByDeadline: now.Add(6 * time.Second)}))
+					}
+				}
+				for range s.Expire(now, testProfile) {
+					expired++
+					late = append(late, now)
+				}
+				s.StartRound()
+				var replies []func()
+				for {
+					c, ok := s.NextCall(now, testProfile)
+					if !ok {
+						break
+					}
+					replies = append(replies, func() {
+						r := newReply(c, len(c.Pieces))
+						c.Complete(now, testProfile, r)
+						if round%2 == 1 {
+							for _, x := range r.Results {
+								s.ReleaseResults(c.Target.Address, []string{x.Handle})
+							}
+						}
+					})
+				}
+				now = now.Add(300 * time.Millisecond)
+				for _, reply := range replies {
+					reply()
+				}
+			}
+			if expired != tt.want {
+				t.Errorf("got %d rejected pieces at %v, want %d", expired, late, tt.want)
+			}
+		})
+	}
+}
--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -22,6 +22,10 @@
 	lastCall time.Time
 	// left has the targets that may not be used now, by ID.
 	left map[string]*targetState
+	// returned is the rate at which room for results is given back.
+	returned returnRate
+	// onTimeRoom is the share of the room granted of late that went to pieces that can still meet their latency objective.
+	onTimeRoom float64
 }
 
 // activePeriod is how long after a call further pieces are expected.
@@ -218,7 +222,7 @@
 
 // Expire removes and returns the pieces that can no longer start in time.
 func (s *Scheduler) Expire(now time.Time, profile route.BatchProfile) []Piece {
-	return append(s.waiting.Expire(now), s.waiting.ExpireStarved(now, profile, s.nextStarts(now), 1-s.onTimeShare)...)
+	return append(s.waiting.Expire(now), s.waiting.ExpireStarved(now, profile, s.nextStarts(now), 1-s.onTimeShare, s.newRoom(now, profile))...)
 }
 
 // StartRound starts a round of NextCall calls, in which every target is considered again.
@@ -238,6 +242,7 @@
 			continue
 		}
 		s.recordOnTime(now, profile, pieces)
+		s.recordOnTimeRoom(now, pieces)
 		expected := time.Duration(float64(profile.CallDuration(len(pieces))) * st.slowness(now))
 		var bytes int64
 		for _, p := range pieces {
@@ -397,7 +402,7 @@
 	for _, list := range []map[string]*targetState{s.targets, s.left} {
 		for _, st := range list {
 			if st.target.Address == address {
-				st.releaseResults(handles)
+				s.returned.since += st.releaseResults(handles)
 			}
 		}
 	}
--- a/internal/serving/batch/target_state.go
+++ b/internal/serving/batch/target_state.go
@@ -205,14 +205,16 @@
 	return s.heldBytes + s.untrackedBytes(now)
 }
 
-// releaseResults records that the target no longer holds the results with these handles.
-func (s *targetState) releaseResults(handles []string) {
+// releaseResults records that the target no longer holds the results with these handles, and returns their bytes.
+func (s *targetState) releaseResults(handles []string) (bytes int64) {
 	for _, h := range handles {
 		if held, ok := s.held[h]; ok {
 			delete(s.held, h)
 			s.heldBytes -= held.bytes
+			bytes += held.bytes
 		}
 	}
+	return bytes
 }
 
 // hasRoom reports whether the results at the target leave space for those of two more calls like the last one, so that none of them has to go
