--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -25,6 +25,12 @@
 	// basis says why calls are placed by the speeds of the targets. heldUntil is when to look again at pieces that wait for faster targets.
 	basis     speed.Basis
 	heldUntil time.Time
+	// left has the targets that may not be used now, by ID.
+	left map[string]*targetState
+	// returned is the rate at which room for results is given back.
+	returned returnRate
+	// onTimeRoom is the share of the room granted of late that went to pieces that can still meet their latency objective.
+	onTimeRoom float64
 }
 
 // activePeriod is how long after a call further pieces are expected.
@@ -32,7 +38,7 @@
 
 // NewScheduler returns a scheduler without targets.
 func NewScheduler() *Scheduler {
-	return &Scheduler{targets: map[string]*targetState{}, skipped: map[string]bool{}}
+	return &Scheduler{targets: map[string]*targetState{}, skipped: map[string]bool{}, left: map[string]*targetState{}}
 }
 
 // Call is one batch of pieces for one target.
@@ -80,17 +86,21 @@
 	for _, t := range targets {
 		usable[t.ID] = true
 		st, ok := s.targets[t.ID]
-		if !ok || st.target.StartedAt != t.StartedAt {
+		if !ok {
+			st = s.comeBack(now, t)
+		}
+		if st == nil || st.target.StartedAt != t.StartedAt {
 			st = &targetState{held: map[string]heldResult{}, added: now}
-			s.targets[t.ID] = st
 		}
+		s.targets[t.ID] = st
 		st.target = t
 	}
-	for id := range s.targets {
+	for id, st := range s.targets {
 		if !usable[id] {
-			delete(s.targets, id)
+			s.leave(now, st)
 		}
 	}
+	s.pruneLeft(now)
 }
 
 // SetPauses sets until when targets want no calls, by ID; the others take them.
@@ -222,7 +232,7 @@
 
 // Expire removes and returns the pieces that can no longer start in time.
 func (s *Scheduler) Expire(now time.Time, profile route.BatchProfile) []Piece {
-	return append(s.waiting.Expire(now), s.waiting.ExpireStarved(now, profile, s.nextStarts(now), 1-s.onTimeShare)...)
+	return append(s.waiting.Expire(now), s.waiting.ExpireStarved(now, profile, s.nextStarts(now), 1-s.onTimeShare, s.newRoom(now, profile))...)
 }
 
 // StartRound starts a round of NextCall calls, in which every target is considered again.
@@ -246,6 +256,7 @@
 			continue
 		}
 		s.recordOnTime(now, profile, pieces)
+		s.recordOnTimeRoom(now, pieces)
 		expected := s.expected(now, profile, st, len(pieces))
 		var bytes int64
 		for _, p := range pieces {
@@ -420,14 +431,10 @@
 
 // ReleaseResults records that the target at an address no longer holds the results with these handles.
 func (s *Scheduler) ReleaseResults(address string, handles []string) {
-	for _, st := range s.targets {
-		if st.target.Address != address {
-			continue
-		}
-		for _, h := range handles {
-			if held, ok := st.held[h]; ok {
-				delete(st.held, h)
-				st.heldBytes -= held.bytes
+	for _, list := range []map[string]*targetState{s.targets, s.left} {
+		for _, st := range list {
+			if st.target.Address == address {
+				s.returned.since += st.releaseResults(handles)
 			}
 		}
 	}
--- a/internal/serving/batch/target_state.go
+++ b/internal/serving/batch/target_state.go
@@ -64,6 +64,8 @@
 	untracked      int64
 	untrackedAt    time.Time
 	untrackedDecay time.Duration
+	// leftAt is when the target could no longer be used.
+	leftAt time.Time
 	// added is when the scheduler learned of the target, and probedAt when its space was last asked for. probed is set
 	// once the target has responded or the probe has failed.
 	added    time.Time
@@ -209,6 +211,18 @@
 	return s.heldBytes + s.untrackedBytes(now)
 }
 
+// releaseResults records that the target no longer holds the results with these handles, and returns their bytes.
+func (s *targetState) releaseResults(handles []string) (bytes int64) {
+	for _, h := range handles {
+		if held, ok := s.held[h]; ok {
+			delete(s.held, h)
+			s.heldBytes -= held.bytes
+			bytes += held.bytes
+		}
+	}
+	return bytes
+}
+
 // hasRoom reports whether the results at the target leave space for those of two more calls like the last one, so that none of them has to go
 // before its readers have ended.
 func (s *targetState) hasRoom(now time.Time, profile route.BatchProfile) bool {
