--- a/internal/bench/simulation/heavy_test.go
+++ b/internal/bench/simulation/heavy_test.go
@@ -14,6 +14,11 @@
 	for i := range d.Kinds {
 		d.Kinds[i].Rate *= rate
 	}
+	if os.Getenv("HEAVY_OBJECTIVES") != "" {
+		for i, objective := range []time.Duration{4 * time.Second, 1400 * ms, 1100 * ms} {
+			d.Kinds[i].Route.LatencyObjective = objective
+		}
+	}
 	for i := range d.Services {
 		d.Services[i].Batching.ResultSpace = int64(room * float64(d.Services[i].Batching.ResultSpace))
 	}
@@ -49,6 +54,11 @@
 		if got, want := after.Credit, before.Credit+0.02; got < want {
 			t.Errorf("room %.1f: got credit %.3f, want at least %.3f", room, got, want)
 		}
+		for i, k := range after.Kinds {
+			if got, want := k.LargestOnTime, before.Kinds[i].LargestOnTime-0.05; got < want {
+				t.Errorf("room %.1f: got an on-time share of %.3f for the largest tenth of %s, want at least %.3f", room, got, k.Kind, want)
+			}
+		}
 		// Priority 0 is that of the kind plan.
 		if got, want := onTimeShare(after, "plan"), onTimeShare(before, "plan")-0.01; got < want {
 			t.Errorf("room %.1f: got an on-time share of %.3f for the most urgent kind, want at least %.3f", room, got, want)
@@ -83,16 +93,18 @@
 				var credit, wasted, used, noRoom, gone, n float64
 				var p95 time.Duration
 				kinds := map[string][4]int{}
+				largest := map[string]int{}
 				for seed := uint64(1); seed <= 5; seed++ {
 					r := Run(Config{Deployment: heavyDeployment(rate, room), Scenario: heavyScenario(loss), Policy: Product, Seed: seed})
 					credit, wasted, used, noRoom, gone, n = credit+r.Credit, wasted+r.WastedSeconds, used+r.StageSeconds, noRoom+float64(r.NoRoom), gone+float64(r.InputGone), n+1
 					p95 += r.RefusedP95
 					for _, k := range r.Kinds {
 						x := kinds[k.Kind]
+						largest[k.Kind] += int(200 * k.LargestOnTime)
 						kinds[k.Kind] = [4]int{x[0] + k.Offered, x[1] + k.OnTime, x[2] + k.Late, x[3] + k.Failed}
 					}
 				}
-				t.Logf("rate %.2f room %.2f loss %5s: credit %.4f wasted %5.2f s of %.0f busy %.2f noroom %.0f gone %.0f refused p95 %s kinds %v", rate, room, loss, credit/n, wasted/n, used/n, used/n/15/45, noRoom/n, gone/n, p95/5, kinds)
+				t.Logf("rate %.2f room %.2f loss %5s: credit %.4f wasted %5.2f s of %.0f busy %.2f noroom %.0f gone %.0f refused p95 %s kinds %v largest tenth on time, in 1000 %v", rate, room, loss, credit/n, wasted/n, used/n, used/n/15/45, noRoom/n, gone/n, p95/5, kinds, largest)
 			}
 		}
 	}
--- a/internal/bench/simulation/report.go
+++ b/internal/bench/simulation/report.go
@@ -14,11 +14,15 @@
 	OnTime  int    `json:"aim"`
 	Late    int    `json:"late"`
 	Failed  int    `json:"failed"`
+	// LargestOnTime is the share of the largest tenth of the requests, by pieces, that are answered within their latency objective.
+	LargestOnTime float64 `json:"largest"`
 	// P50, P95 and P99 are quantiles of the time from the caller's first try to the first event.
 	P50       time.Duration `json:"p50"`
 	P95       time.Duration `json:"p95"`
 	P99       time.Duration `json:"p99"`
 	latencies []time.Duration
+	// offeredSizes and onTimeSizes have the numbers of pieces of the requests.
+	offeredSizes, onTimeSizes []int
 }
 
 // Report is the result of a run.
@@ -80,17 +84,20 @@
 	return &r.Timeline[n]
 }
 
-func (r *Report) recordOffered(k *Kind, at time.Time) {
-	r.byKind[k.Route.Name].Offered++
+func (r *Report) recordOffered(k *Kind, at time.Time, pieces int) {
+	x := r.byKind[k.Route.Name]
+	x.Offered++
+	x.offeredSizes = append(x.offeredSizes, pieces)
 	r.offeredValue += k.Value
 	r.point(at).Offered++
 }
 
-func (r *Report) recordAnswered(k *Kind, now time.Time, latency time.Duration) {
+func (r *Report) recordAnswered(k *Kind, now time.Time, latency time.Duration, pieces int) {
 	s := r.byKind[k.Route.Name]
 	s.latencies = append(s.latencies, latency)
 	if latency <= k.Route.LatencyObjective {
 		s.OnTime++
+		s.onTimeSizes = append(s.onTimeSizes, pieces)
 		r.earnedValue += k.Value
 		r.point(now.Add(-latency)).Attained++
 		return
@@ -128,12 +135,31 @@
 	r.RefusedP95 = quantile(r.refusalTimes, 0.95)
 	for _, s := range r.byKind {
 		s.P50, s.P95, s.P99 = quantile(s.latencies, 0.5), quantile(s.latencies, 0.95), quantile(s.latencies, 0.99)
+		s.LargestOnTime = largestShare(s.offeredSizes, s.onTimeSizes)
 		r.Kinds = append(r.Kinds, *s)
 	}
 	sort.Slice(r.Kinds, func(i, j int) bool { return r.Kinds[i].Kind < r.Kinds[j].Kind })
 	return *r
 }
 
+// largestShare returns the share of the largest tenth of some sizes that is also in part.
+func largestShare(all, part []int) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	sort.Ints(all)
+	least := all[len(all)*9/10]
+	count := func(list []int) (n int) {
+		for _, size := range list {
+			if size >= least {
+				n++
+			}
+		}
+		return n
+	}
+	return float64(count(part)) / float64(count(all))
+}
+
 func quantile(list []time.Duration, q float64) time.Duration {
 	if len(list) == 0 {
 		return 0
--- a/internal/bench/simulation/request.go
+++ b/internal/bench/simulation/request.go
@@ -53,7 +53,7 @@
 
 func (s *sim) arrive(a arrival) {
 	c := &caller{arrival: a, firstTryAt: s.clock.now, retriesAtOnce: s.rand.Float64() < s.scenario.RetryShare}
-	s.report.recordOffered(&s.deployment.Kinds[a.kindIndex], s.clock.now)
+	s.report.recordOffered(&s.deployment.Kinds[a.kindIndex], s.clock.now, a.pieces())
 	s.startTry(c)
 }
 
@@ -154,7 +154,7 @@
 		s.modelLoads[key] = modelLoad{s.modelLoads[key].running - 1, s.modelLoads[key].pendingTokens - r.promptTokens()}
 		if !r.ended {
 			s.endRequest(r)
-			s.report.recordAnswered(r.kind, s.clock.now, s.clock.now.Sub(r.caller.firstTryAt))
+			s.report.recordAnswered(r.kind, s.clock.now, s.clock.now.Sub(r.caller.firstTryAt), r.caller.pieces())
 		}
 	})
 	s.clock.runAfter(inputFetchTime, func() { s.releaseRequest(r) })
--- a/internal/bench/simulation/scenario.go
+++ b/internal/bench/simulation/scenario.go
@@ -60,6 +60,15 @@
 	id          uint64
 }
 
+// pieces returns the number of pieces of all stages.
+func (a arrival) pieces() int {
+	n := 0
+	for _, count := range a.pieceCounts {
+		n += count
+	}
+	return n
+}
+
 // drawArrivals draws the requests of a scenario; the same seed yields the same requests.
 func (s Scenario) drawArrivals(d Deployment, seed uint64) []arrival {
 	r := rand.New(rand.NewPCG(seed, 1))
--- a/internal/serving/batch/group.go
+++ b/internal/serving/batch/group.go
@@ -57,6 +57,8 @@
 	Attempts int
 	// Alone is set if the piece shares no call with those of other groups, since targets have crashed under it.
 	Alone bool
+	// LacksRoom is set if the piece has expired because there is no room for its result in time.
+	LacksRoom bool
 }
 
 // Result is the outcome of one piece.
--- a/internal/serving/batch/queue.go
+++ b/internal/serving/batch/queue.go
@@ -91,7 +91,8 @@
 			// Pieces that arrive later and can still meet their objective go ahead of this one.
 			calls.add(1/max(spare, minSpareShare) - 1)
 		}
-		if calls.start().After(p.StartByDeadline) || room.startAfter(p, isLate).After(p.StartByDeadline) {
+		p.LacksRoom = room.startAfter(p, isLate).After(p.StartByDeadline)
+		if p.LacksRoom || calls.start().After(p.StartByDeadline) {
 			starved = append(starved, p)
 			continue
 		}
--- a/internal/serving/batch/room_test.go
+++ b/internal/serving/batch/room_test.go
@@ -111,8 +111,11 @@
 						s.Add(piece(Group{Request: "late", ResultBytes: tt.bytes, StartByObjective: at(1), StartByDeadline: now.Add(6 * time.Second)}))
 					}
 				}
-				for range s.Expire(now, testProfile) {
+				for _, p := range s.Expire(now, testProfile) {
 					expired++
+					if !p.LacksRoom {
+						t.Error("got a piece that expired for another reason, want the lack of room")
+					}
 					late = append(late, now)
 				}
 				s.StartRound()
--- a/internal/serving/batch/room_timeline.go
+++ b/internal/serving/batch/room_timeline.go
@@ -73,18 +73,15 @@
 	return r
 }
 
-// recordOnTimeRoom updates onTimeRoom with the pieces of a call.
-func (s *Scheduler) recordOnTimeRoom(now time.Time, pieces []Piece) {
-	var onTime, all float64
+// recordOnTimeRoom updates onTimeRoom with the pieces of a call to a target that had some room.
+func (s *Scheduler) recordOnTimeRoom(now time.Time, pieces []Piece, room int64) {
+	onTime := int64(0)
 	for _, p := range pieces {
-		all += float64(p.ResultBytes)
 		if !now.After(p.StartByObjective) {
-			onTime += float64(p.ResultBytes)
+			onTime += p.ResultBytes
 		}
 	}
-	if all > 0 {
-		s.onTimeRoom += (onTime/all - s.onTimeRoom) / float64(onTimeCalls*len(s.targets))
-	}
+	s.onTimeRoom += (float64(onTime)/float64(max(room, 1)) - s.onTimeRoom) / float64(onTimeCalls*len(s.targets))
 }
 
 // returnRate averages how much room is given back in a second.
--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -24,7 +24,7 @@
 	left map[string]*targetState
 	// returned is the rate at which room for results is given back.
 	returned returnRate
-	// onTimeRoom is the share of the room granted of late that went to pieces that can still meet their latency objective.
+	// onTimeRoom is the share of the room of the latest calls' targets that went to pieces that can still meet their latency objective.
 	onTimeRoom float64
 }
 
@@ -242,7 +242,7 @@
 			continue
 		}
 		s.recordOnTime(now, profile, pieces)
-		s.recordOnTimeRoom(now, pieces)
+		s.recordOnTimeRoom(now, pieces, space)
 		expected := time.Duration(float64(profile.CallDuration(len(pieces))) * st.slowness(now))
 		var bytes int64
 		for _, p := range pieces {
--- a/internal/wire/dispatch/room.go
+++ b/internal/wire/dispatch/room.go
@@ -33,3 +33,11 @@
 	}
 	d.Free(handles)
 }
+
+// expiryReason returns why a piece has expired, for logs and metrics.
+func expiryReason(p batch.Piece) string {
+	if p.LacksRoom {
+		return "without room"
+	}
+	return "late"
+}
--- a/internal/wire/dispatch/settle.go
+++ b/internal/wire/dispatch/settle.go
@@ -157,7 +157,7 @@
 func (d *Dispatcher) expireLate(now time.Time, s *shardScheduler, profile route.BatchProfile) {
 	for _, p := range s.Expire(now, profile) {
 		if g := d.groups[p.GroupID]; g != nil {
-			d.recordRejected(now, g.Group, "late", nil)
+			d.recordRejected(now, g.Group, expiryReason(p), nil)
 		}
 		d.endGroup(s, p.GroupID, batch.Late)
 	}
