--- a/internal/fleet/rollout/keeper.go
+++ b/internal/fleet/rollout/keeper.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"hash/fnv"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +31,8 @@
 // Keeper holds what a node knows of the rollouts of all services. It is safe for concurrent use.
 type Keeper struct {
 	cfg KeeperConfig
+	// offset is where the node begins among the targets that are tried, so that not all nodes begin at the same one.
+	offset int
 	// watched is the number of services with a rollout or a withdrawn version; requests of other services pass unchanged.
 	watched atomic.Int32
 	// isListed is set once the operators' orders have been read. Before, any target may be that of a new version.
@@ -58,7 +62,9 @@
 
 // NewKeeper returns a keeper without rollouts.
 func NewKeeper(cfg KeeperConfig) *Keeper {
-	return &Keeper{cfg: cfg, rollouts: map[string]*tracked{}, withdrawn: map[string]map[string]time.Time{}, running: map[string]map[string]int{}}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(cfg.Self))
+	return &Keeper{cfg: cfg, offset: int(h.Sum32() % 1024), rollouts: map[string]*tracked{}, withdrawn: map[string]map[string]time.Time{}, running: map[string]map[string]int{}}
 }
 
 // IsEnabled reports whether the deployment has rollouts at all.
@@ -209,12 +215,25 @@
 		choice = OldOnly
 	}
 	first := t.progress.Order.Targets(choice, targets, k.cfg.Limits)
+	if choice == CanariesFirst {
+		first = rotated(first, k.offset+t.own.Sent)
+	}
 	if choice == CanariesFirst || choice == NewFirst {
 		return [][]registry.Target{first, t.progress.Order.Targets(OldOnly, targets, k.cfg.Limits)}
 	}
 	return [][]registry.Target{first}
 }
 
+// rotated returns a list that begins at the nth target. Equally loaded targets are used in the order of the list, and a verdict leaves out
+// the worst of them, so that little is known of the version if one gets most requests.
+func rotated(list []registry.Target, n int) []registry.Target {
+	if len(list) < 2 {
+		return list
+	}
+	n %= len(list)
+	return slices.Concat(list[n:], list[:n])
+}
+
 // permitted leaves out the targets of withdrawn versions.
 func (k *Keeper) permitted(service string, targets []registry.Target) []registry.Target {
 	if len(k.withdrawn[service]) == 0 {
--- a/internal/fleet/rollout/keeper_test.go
+++ b/internal/fleet/rollout/keeper_test.go
@@ -221,3 +221,24 @@
 		}
 	}
 }
+
+// TestCanariesShareTheTrial guards against a trial in which one target gets nearly all requests: a verdict leaves out the worst target and
+// would come after the shift.
+func TestCanariesShareTheTrial(t *testing.T) {
+	got := map[string]int{}
+	for n := range 6 {
+		k := newTestKeeper(fmt.Sprint("n", n))
+		k.SetOrder(testBegin, testOrder, Status{})
+		for range 60 {
+			list := k.Lists(testBegin, "svc", testTargets(4), 1, false)[0]
+			k.Begin(testBegin, SendRequest{Target: list[0], Count: 1})
+			got[list[0].ID] += len(list) % 4
+		}
+	}
+	canaries := testOrder.Canaries(testTargets(4), testLimits)
+	for _, x := range canaries {
+		if n := got[x.ID] / 2; n < 9 || n > 15 {
+			t.Errorf("got %d requests to %s, want 12 of 24", n, x.ID)
+		}
+	}
+}
