--- a/internal/fleet/rollout/keeper_test.go
+++ b/internal/fleet/rollout/keeper_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -242,3 +244,38 @@
 		}
 	}
 }
+
+// TestConcurrentRequestsKeepTheShare guards against requests that are placed at once and all find the share unused; they begin one by one.
+func TestConcurrentRequestsKeepTheShare(t *testing.T) {
+	k := newTestKeeper("n0")
+	k.SetOrder(testBegin, testOrder, Status{})
+	var sent, requests atomic.Int64
+	var senders sync.WaitGroup
+	for range 16 {
+		senders.Go(func() {
+			for range 200 {
+				lists := k.Lists(testBegin, "svc", testTargets(4), 1, false)
+				for _, list := range lists {
+					s, ok := k.Begin(testBegin, SendRequest{Target: list[0], Route: "chat", Count: 1})
+					if !ok {
+						continue
+					}
+					requests.Add(1)
+					if s.software == "v2" {
+						sent.Add(1)
+					}
+					k.End(testBegin, s, Succeeded)
+					break
+				}
+			}
+		})
+	}
+	senders.Wait()
+	r, _, _ := k.Report(testBegin, "svc")
+	if got, want := sent.Load(), int64(canaryPart*testLimits.Share*float64(requests.Load())); got > want || got < want-2 {
+		t.Errorf("got %d of %d requests sent to the new version, want %d", got, requests.Load(), want)
+	}
+	if int64(r.Sum.Requests) != requests.Load() || r.Sum.responses() != int(sent.Load()) || len(k.running["svc"]) != 0 {
+		t.Errorf("got %+v counted and %v running, want %d requests, %d responses and none running", r.Sum, k.running, requests.Load(), sent.Load())
+	}
+}
