--- a/internal/fleet/rollout/collect.go
+++ b/internal/fleet/rollout/collect.go
@@ -7,8 +7,12 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/fleet/registry"
 )
 
-// judgeInterval bounds how often the evidence of a rollout is added up.
-const judgeInterval = 200 * time.Millisecond
+const (
+	// judgeInterval bounds how often a node's own responses are judged.
+	judgeInterval = 200 * time.Millisecond
+	// sumInterval bounds how often the evidence of a rollout is added up: each second time that the follower decides.
+	sumInterval = 150 * time.Millisecond
+)
 
 // mark is a sum as it was at a time.
 type mark struct {
@@ -94,17 +98,29 @@
 	t.evidence = t.evidence.With(now, r)
 	heardAt := t.evidence.heardAt(nodes)
 	t.progress = t.progress.WithElapsed(now, r.Elapsed).WithHeard(heardAt)
-	k.judge(now, t)
 	return Reply{IsKnown: now.Sub(heardAt) <= evidenceLifetime, Elapsed: now.Sub(t.progress.Began), Bad: t.progress.Bad}
 }
 
-// judge compares the versions by what the fleet has reported.
-func (k *Keeper) judge(now time.Time, t *tracked) {
-	if t.progress.Bad != nil || t.progress.State.IsFinal() || !t.fleet.isDue(now) {
-		return
+// sum returns the rollout of a service after what the fleet has reported was added up, if that is due. In a large fleet that takes tens of
+// milliseconds, so requests do not wait for it.
+func (k *Keeper) sum(now time.Time, service string) *tracked {
+	k.mu.Lock()
+	t := k.rollouts[service]
+	if t == nil || now.Sub(t.summedAt) < sumInterval {
+		k.mu.Unlock()
+		return t
 	}
-	sum := t.evidence.Sum()
-	t.progress = t.progress.WithVerdict(now, Judge(sum, t.fleet.earlier(now, sum)))
+	t.summedAt = now
+	evidence := t.evidence
+	k.mu.Unlock()
+	sum := evidence.Sum()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t.sum = sum
+	if t.progress.Bad == nil && !t.progress.State.IsFinal() {
+		t.progress = t.progress.WithVerdict(now, Judge(sum, t.fleet.earlier(now, sum)))
+	}
+	return t
 }
 
 // Learn takes in another node's reply to a report of this node.
@@ -123,22 +139,22 @@
 	}
 }
 
-// Decide judges by this node's own responses, and returns the progress of the rollout of a service and what to do about its stored state.
+// Decide judges by the responses of the fleet and by this node's own ones, and returns the progress of the rollout of a service and what to do about its stored state.
 // rank is the node's place among those that collect the evidence, nodes are all nodes.
 //
 // targets are the service's usable ones: a node without requests of its own takes part in the steps all the same.
 func (k *Keeper) Decide(now time.Time, service string, rank int, nodes []string, targets []registry.Target) (Progress, Situation, Action) {
+	t := k.sum(now, service)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	t := k.rollouts[service]
-	if t == nil {
+	if t == nil || k.rollouts[service] != t {
 		return Progress{}, Situation{}, Keep{}
 	}
 	k.advance(now, t, k.permitted(service, targets))
 	if t.progress.Bad == nil && !t.progress.State.IsFinal() && t.local.isDue(now) {
 		t.progress = t.progress.WithVerdict(now, Judge(t.own, t.local.earlier(now, t.own)))
 	}
-	s := Situation{Rank: rank, HasEvidence: now.Sub(t.evidence.heardAt(nodes)) <= reportLifetime, IsDrained: t.evidence.IsDrained(now, nodes), Sum: t.evidence.Sum()}
+	s := Situation{Rank: rank, HasEvidence: now.Sub(t.evidence.heardAt(nodes)) <= reportLifetime, IsDrained: t.evidence.IsDrained(now, nodes), Sum: t.sum}
 	return t.progress, s, t.progress.Next(now, s)
 }
 
--- a/internal/fleet/rollout/keeper.go
+++ b/internal/fleet/rollout/keeper.go
@@ -52,6 +52,9 @@
 	progress Progress
 	own      Sum
 	evidence Evidence
+	// sum is the sum of the evidence as of summedAt.
+	sum      Sum
+	summedAt time.Time
 	// fleet and local are the earlier sums to compare with, of the whole fleet and of this node.
 	fleet, local marks
 	// seenAt is when the node last looked at the rollout.
