--- a/internal/fleet/rollout/collect.go
+++ b/internal/fleet/rollout/collect.go
@@ -58,6 +58,16 @@
 	return list
 }
 
+// Step returns the step of the rollout of a service at now, "" if there is none.
+func (k *Keeper) Step(now time.Time, service string) Step {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if t := k.rollouts[service]; t != nil {
+		return t.progress.Step(now)
+	}
+	return ""
+}
+
 // Report returns this node's report on the rollout of a service at now, and whether a response has failed at the new version since the
 // last one.
 func (k *Keeper) Report(now time.Time, service string) (r Report, isUrgent, ok bool) {
--- a/internal/wire/rollout/follower.go
+++ b/internal/wire/rollout/follower.go
@@ -111,6 +111,7 @@
 		for _, p := range list {
 			f.advance(ctx, p)
 		}
+		f.endSteps(list)
 		if hasWithdrawn := f.cfg.Keeper.ForgetGone(f.cfg.Now(), f.cfg.Registry()); len(list) == 0 && !hasWithdrawn {
 			ticker.Stop()
 		}
@@ -206,15 +207,15 @@
 
 // logStep logs each change of step.
 func (f *Follower) logStep(now time.Time, p rollout.Progress, s rollout.Situation) {
+	if p.Order.Service == "" {
+		// The order was removed meanwhile.
+		return
+	}
 	step := p.Step(now)
 	f.mu.Lock()
 	before := f.steps[p.Order.Service]
 	f.steps[p.Order.Service] = step
 	f.mu.Unlock()
-	_, _, isKnown := f.cfg.Keeper.Report(now, p.Order.Service)
-	if !isKnown {
-		return
-	}
 	f.cfg.Meter.SetRollout(p.Order.Service, string(step), s.Sum.Requests, s.Sum.Sent)
 	if step == before {
 		return
@@ -229,6 +230,22 @@
 	f.cfg.Log.WithFields(fields).Info("rollout: step changed")
 }
 
+// endSteps records the last step of the rollouts that have reached a final state, or whose orders were removed.
+func (f *Follower) endSteps(running []rollout.Progress) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for service := range f.steps {
+		if slices.ContainsFunc(running, func(p rollout.Progress) bool { return p.Order.Service == service }) {
+			continue
+		}
+		step := f.cfg.Keeper.Step(f.cfg.Now(), service)
+		f.cfg.Meter.SetRollout(service, string(step), 0, 0)
+		f.cfg.Log.WithFields(logrus.Fields{"service": service, "step": string(step)}).Info("rollout: ended")
+		delete(f.steps, service)
+		delete(f.reportedAt, service)
+	}
+}
+
 // write stores a state unless an earlier attempt is under way or has just failed.
 func (f *Follower) write(ctx context.Context, now time.Time, p rollout.Progress, w rollout.Write, s rollout.Situation) {
 	service := p.Order.Service
--- a/internal/wire/rollout/follower_test.go
+++ b/internal/wire/rollout/follower_test.go
@@ -176,6 +176,51 @@
 	}
 }
 
+// stepMeter holds the latest step.
+type stepMeter struct {
+	noMeter
+	step *string
+}
+
+func (m stepMeter) SetRollout(_, step string, _, _ int) { *m.step = step }
+
+// TestEndOfRolloutIsRecorded guards against metrics that show a step for ever after the final state, or after the order was removed.
+func TestEndOfRolloutIsRecorded(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	now := time.Unix(1000, 0)
+	k := rollout.NewKeeper(rollout.KeeperConfig{Self: "n", Limits: rollout.Limits{Share: 0.1}})
+	r := registry.New().WithNodes([]registry.Node{{Name: "n"}})
+	got := ""
+	f := NewFollower(Config{
+		Self: "n", Keeper: k, Registry: func() *registry.Registry { return r }, Meter: stepMeter{step: &got}, Log: log, Now: func() time.Time { return now },
+		Write: func(context.Context, rollout.Progress, rollout.State) error { return errConflict },
+	})
+	look := func() {
+		list := k.Rollouts()
+		for _, p := range list {
+			f.advance(t.Context(), p)
+		}
+		f.endSteps(list)
+	}
+	for _, tt := range []struct {
+		change func()
+		want   rollout.Step
+	}{
+		{func() { k.SetOrder(now, testOrder, rollout.Status{}) }, rollout.Canary},
+		{func() { k.SetOrder(now, testOrder, rollout.Status{Version: "v2", State: rollout.Completed}) }, rollout.Done},
+		{func() {
+			k.SetOrder(now, rollout.Order{Service: "svc", Version: "v3", Duration: time.Minute}, rollout.Status{})
+		}, rollout.Canary},
+		{func() { k.RemoveOrder(now, "svc") }, ""},
+	} {
+		tt.change()
+		if look(); got != string(tt.want) {
+			t.Errorf("got step %q, want %q", got, tt.want)
+		}
+	}
+}
+
 // TestFinalStateIsNotHeldUpByEarlierFailures guards against a store that is back in time while nodes still wait after their failed
 // attempts to write another state, or the state of an earlier order.
 func TestFinalStateIsNotHeldUpByEarlierFailures(t *testing.T) {
