--- a/internal/fleet/rollout/keeper_test.go
+++ b/internal/fleet/rollout/keeper_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -221,3 +223,59 @@
 		}
 	}
 }
+
+// TestCanariesShareTheTrial guards against a trial in which one target gets nearly all requests: a verdict leaves out the worst target and
+// would come after the shift.
+func TestCanariesShareTheTrial(t *testing.T) {
+	got := map[string]int{}
+	for n := range 6 {
+		k := newTestKeeper(fmt.Sprint("n", n))
+		k.SetOrder(testBegin, testOrder, Status{})
+		for range 60 {
+			list := k.Lists(testBegin, "svc", testTargets(4), 1, false)[0]
+			k.Begin(testBegin, SendRequest{Target: list[0], Count: 1})
+			got[list[0].ID] += len(list) % 4
+		}
+	}
+	canaries := testOrder.Canaries(testTargets(4), testLimits)
+	for _, x := range canaries {
+		if n := got[x.ID] / 2; n < 9 || n > 15 {
+			t.Errorf("got %d requests to %s, want 12 of 24", n, x.ID)
+		}
+	}
+}
+
+// TestConcurrentRequestsKeepTheShare guards against requests that are placed at once and all find the share unused; they begin one by one.
+func TestConcurrentRequestsKeepTheShare(t *testing.T) {
+	k := newTestKeeper("n0")
+	k.SetOrder(testBegin, testOrder, Status{})
+	var sent, requests atomic.Int64
+	var senders sync.WaitGroup
+	for range 16 {
+		senders.Go(func() {
+			for range 200 {
+				lists := k.Lists(testBegin, "svc", testTargets(4), 1, false)
+				for _, list := range lists {
+					s, ok := k.Begin(testBegin, SendRequest{Target: list[0], Route: "chat", Count: 1})
+					if !ok {
+						continue
+					}
+					requests.Add(1)
+					if s.software == "v2" {
+						sent.Add(1)
+					}
+					k.End(testBegin, s, Succeeded)
+					break
+				}
+			}
+		})
+	}
+	senders.Wait()
+	r, _, _ := k.Report(testBegin, "svc")
+	if got, want := sent.Load(), int64(canaryPart*testLimits.Share*float64(requests.Load())); got > want || got < want-2 {
+		t.Errorf("got %d of %d requests sent to the new version, want %d", got, requests.Load(), want)
+	}
+	if int64(r.Sum.Requests) != requests.Load() || r.Sum.responses() != int(sent.Load()) || len(k.running["svc"]) != 0 {
+		t.Errorf("got %+v counted and %v running, want %d requests, %d responses and none running", r.Sum, k.running, requests.Load(), sent.Load())
+	}
+}
