--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -21,6 +21,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/dispatch"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/gateway"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/intake"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/permit"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/snapshot"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/transport"
@@ -154,11 +155,12 @@
 	if err != nil {
 		return err
 	}
-	n.peerServer = grpc.NewServer()
+	n.peerServer = newPeerServer()
 	dispatch.Register(n.peerServer, n.dispatcher)
 	permit.Register(n.peerServer, n.keeper)
 	snapshot.Register(n.peerServer, n.view)
-	go n.serve("nodes", func() error { return n.peerServer.Serve(peers) })
+	peerListener := intake.Limit(n.newGate("nodes", 0, s.MaxFiles/peerShare), peers)
+	go n.serve("nodes", func() error { return n.peerServer.Serve(peerListener) })
 	callers, err := listen(s.CallerAddress)
 	if err != nil {
 		return err
