--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -168,7 +168,8 @@
 	// Uses the standard server without a library's router, because request targets must be forwarded unchanged.
 	n.callerServer = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: gateway.ConnContext}
 	n.callerListener = transport.NewListener(callers, n.callerServer, n.cfg.Now)
-	go n.serve("callers", func() error { return n.callerServer.Serve(n.callerListener) })
+	bounded := intake.Serve(n.newGate("callers", s.CallerMemory(), s.CallerConnections()), n.callerServer, n.callerListener)
+	go n.serve("callers", func() error { return n.callerServer.Serve(bounded) })
 	readyRoutes := []rest.Route{{Method: http.MethodGet, Path: n.cfg.ReadyPath, Handler: n.serveReady}}
 	if err := n.serveInternal(listen, "ready", s.ReadyAddress, readyRoutes); err != nil {
 		return err
@@ -189,7 +190,9 @@
 	}
 	server := transport.NewServer(h)
 	n.internalServers = append(n.internalServers, server)
-	go n.serve(name, func() error { return server.Serve(l) })
+	s := n.cfg.Settings
+	bounded := intake.Serve(n.newGate(name, s.MemoryBytes/internalMemoryShare, s.MaxFiles/internalShare), server, l)
+	go n.serve(name, func() error { return server.Serve(bounded) })
 	return nil
 }
 
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -32,6 +32,32 @@
 	GracePeriod time.Duration
 	RetryBudget RetryBudget
 	ColdLimit   ColdLimit
+	Callers     CallerBounds
+}
+
+// CallerBounds bound what all callers of a node may hold, 0 for the default.
+type CallerBounds struct {
+	// MemoryBytes is for requests and responses, Connections for open connections.
+	MemoryBytes int64
+	Connections int
+}
+
+// CallerMemory returns the bytes that requests and responses of callers may hold, 0 for no bound. By default it is three eighths of the
+// memory: the Go heap may grow to about twice what is held before it is collected.
+func (g Gateway) CallerMemory() int64 {
+	if g.Callers.MemoryBytes > 0 {
+		return g.Callers.MemoryBytes
+	}
+	return g.MemoryBytes * 3 / 8
+}
+
+// CallerConnections returns how many connections callers may have, 0 for no bound. By default it is half of the descriptors: each
+// request may need another one for its target.
+func (g Gateway) CallerConnections() int {
+	if g.Callers.Connections > 0 {
+		return g.Callers.Connections
+	}
+	return g.MaxFiles / 2
 }
 
 // RetryBudget limits the retries to a service over all nodes: the sends beyond the first of each request.
--- a/internal/wire/gateway/connection.go
+++ b/internal/wire/gateway/connection.go
@@ -29,7 +29,11 @@
 // abort ends a response so that it does not look complete. An HTTP/1.0 caller gets no chunks, so its connection is reset.
 func abort(r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && !r.ProtoAtLeast(1, 1) {
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		conn := c.Conn
+		if bounded, ok := conn.(interface{ NetConn() net.Conn }); ok {
+			conn = bounded.NetConn()
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
 			// An error means that the connection is closed already.
 			_ = tcp.SetLinger(0)
 		}
