--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -24,6 +23,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/serving/shutdown"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/dispatch"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/intake"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/permit"
 )
 
@@ -32,6 +32,9 @@
 	defaultBodyBytes = 4 << 20
 	// shortRetry is the retry time for causes that usually pass quickly, such as a node without configuration.
 	shortRetry = 300 * time.Millisecond
+	// memoryRetry is the retry time while clients hold all memory that requests may have: what they stop sending or reading is closed
+	// after about two seconds.
+	memoryRetry = time.Second
 	// responseMargin is the part of a route's timeout reserved for sending the response to the caller.
 	responseMargin = 20 * time.Millisecond
 )
@@ -143,6 +146,8 @@
 // requestState is the state of one request.
 type requestState struct {
 	call.Call
+	// conn is the connection of the caller, nil if it has no bounds.
+	conn    *intake.Conn
 	table   *route.Table
 	route   route.Route
 	service route.Service
@@ -199,7 +204,7 @@
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := g.cfg.Now()
-	rs := &requestState{Call: g.cfg.Headers.ParseRequest(now, r), table: g.cfg.Table(), sentTo: map[string]bool{}, log: logrus.Fields{}}
+	rs := &requestState{Call: g.cfg.Headers.ParseRequest(now, r), conn: intake.FromContext(r.Context()), table: g.cfg.Table(), sentTo: map[string]bool{}, log: logrus.Fields{}}
 	rs.claimID = g.newClaimID()
 	g.begin(r, rs)
 	rw := newResponseWriter(w)
@@ -271,21 +276,28 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	ctx, cancel := context.WithDeadline(r.Context(), rs.deadline)
+	defer cancel()
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(rs.deadline); err != nil {
 		g.cfg.Log.WithError(err).WithField("request", rs.ID).Warn("gateway: the time to read a body cannot be bounded")
 	}
 	g.setEnd(rs, func(error) {
+		cancel()
 		// An error means that the connection is closed already.
 		_ = control.SetReadDeadline(g.cfg.Now())
 	})
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	body, err := rs.conn.ReadBody(ctx, http.MaxBytesReader(w, r.Body, int64(limit)), r.ContentLength, int64(limit))
 	isEnded := g.setEnd(rs, nil)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case isEnded:
 		return refusal(causeStopping, "node is stopping", 0)
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, intake.ErrRejected), errors.Is(err, context.DeadlineExceeded):
+		// The rest of the body is not read.
+		w.Header().Set("Connection", "close")
+		return refusal(causeMemory, "node has no room for the request", memoryRetry)
+	case errors.As(err, &tooLarge), errors.Is(err, intake.ErrTooLarge):
 		// The rest of the body is not read.
 		w.Header().Set("Connection", "close")
 		return denial(http.StatusRequestEntityTooLarge, causeSize, "body is too large")
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -41,6 +41,8 @@
 	causeHeader cause = "header"
 	// The body of the request was not received in time.
 	causeBody cause = "body"
+	// Clients hold all memory that requests may have.
+	causeMemory cause = "memory"
 	// The node is stopping, and the request would not end in time.
 	causeStopping cause = "stopping"
 	// The stages could not start the request's pieces in time, or a piece was lost or late.
--- a/internal/wire/intake/conn_test.go
+++ b/internal/wire/intake/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -54,7 +55,12 @@
 	log.SetOutput(io.Discard)
 	g = NewGate(Config{Port: "test", Limits: l, Log: log, Meter: silentMeter{}, Now: time.Now})
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		data, _ := io.ReadAll(r.Body)
+		data, err := FromContext(r.Context()).ReadBody(r.Context(), r.Body, r.ContentLength, 1<<20)
+		if errors.Is(err, ErrRejected) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		_, _ = fmt.Fprintf(w, "%s %d", r.URL.Path, len(data))
 	})}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -100,3 +106,31 @@
 		}
 	}
 }
+
+// TestStoppedBodiesGiveWay covers bodies that stop one byte short: another request has their room, and they get a rejection.
+func TestStoppedBodiesGiveWay(t *testing.T) {
+	const size = 1 << 20
+	address, _ := startServer(t, Limits{Bytes: 4 * size, ReadTime: 50 * time.Millisecond, StallTime: time.Second, Wait: 5 * time.Second})
+	var stopped []net.Conn
+	post := func(n int) net.Conn {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+		_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", n))
+		return c
+	}
+	for range 6 {
+		stopped = append(stopped, post(size-1))
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(post(size)), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("got %v (%v), want 200", resp, err)
+	}
+	resp, err = http.ReadResponse(bufio.NewReader(stopped[0]), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got %v (%v) for a body that stopped, want 503", resp, err)
+	}
+}
--- a/internal/wire/intake/listener.go
+++ b/internal/wire/intake/listener.go
@@ -7,14 +7,6 @@
 	"time"
 )
 
-type connKey struct{}
-
-// FromContext returns the connection of a request, nil if it has no bounds.
-func FromContext(ctx context.Context) *Conn {
-	c, _ := ctx.Value(connKey{}).(*Conn)
-	return c
-}
-
 // Serve bounds a server by a gate and returns the listener with which it has to be served. The handler, ConnState and ConnContext of the
 // server have to be set before.
 func Serve(g *Gate, s *http.Server, l net.Listener) net.Listener {
@@ -42,8 +34,7 @@
 		defer c.releaseAll()
 		if r.ContentLength != 0 {
 			c.bodyLeft = r.ContentLength
-		}
-		if !g.setPhase(c, Serving) {
+		} else if !g.setPhase(c, Serving) {
 			// It is being closed for others, and its request has not run.
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Retry-After", "1")
