--- a/internal/wire/gateway/forward.go
+++ b/internal/wire/gateway/forward.go
@@ -444,7 +444,7 @@
 	}
 	canRetry := rs.sends+1 < rs.route.MaxAttempts && rs.route.IsRetryable()
 	if resp.Status >= 500 && canRetry {
-		buffered, err := rw.bufferResponse(resp)
+		buffered, err := rw.bufferResponse(ctx, resp)
 		if err == nil {
 			return sendResult{fallback: buffered.outcome(rw.w), mayHaveRun: true, countsAsAttempt: true}
 		}
@@ -453,7 +453,7 @@
 	if rs.route.RetryPolicy == route.Streaming && success {
 		return rw.stream(ctx, r, resp, rs.route.Resumable)
 	}
-	buffered, err := rw.bufferResponse(resp)
+	buffered, err := rw.bufferResponse(ctx, resp)
 	if err != nil {
 		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved) {
 			return sendResult{final: g.timeout(ctx, rs, rw, true)}
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -207,7 +207,7 @@
 	rs := &requestState{Call: g.cfg.Headers.ParseRequest(now, r), conn: intake.FromContext(r.Context()), table: g.cfg.Table(), sentTo: map[string]bool{}, log: logrus.Fields{}}
 	rs.claimID = g.newClaimID()
 	g.begin(r, rs)
-	rw := newResponseWriter(w)
+	rw := newResponseWriter(w, rs.conn)
 	out := g.admit(w, r, rs)
 	if out == nil {
 		out = g.serve(r, rs, rw)
--- a/internal/wire/gateway/response.go
+++ b/internal/wire/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"maps"
@@ -11,6 +12,7 @@
 
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/eventstream"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/intake"
 )
 
 const (
@@ -25,6 +27,8 @@
 // responseWriter writes the response of one request to its caller.
 type responseWriter struct {
 	w http.ResponseWriter
+	// conn is the connection of the caller, nil if it has no bounds.
+	conn *intake.Conn
 	// headerSent is set once the header has been sent, status is its status.
 	headerSent bool
 	status     int
@@ -54,7 +58,9 @@
 	return &outcome{kind: truncated, cause: causeNotResumed, reason: "stream was not resumed: " + o.reason, abort: true, inputLost: o.inputLost}
 }
 
-func newResponseWriter(w http.ResponseWriter) *responseWriter { return &responseWriter{w: w} }
+func newResponseWriter(w http.ResponseWriter, c *intake.Conn) *responseWriter {
+	return &responseWriter{w: w, conn: c}
+}
 
 // setPlace sets the caller's place in a stream: one that resumes it has its first events.
 func (rw *responseWriter) setPlace(rs *requestState) {
@@ -120,11 +126,12 @@
 }
 
 // bufferResponse reads a response to its end.
-func (rw *responseWriter) bufferResponse(resp *connection.Response) (bufferedResponse, error) {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err == nil && len(data) > maxBufferedBytes {
-		err = errors.New("response is too large")
+func (rw *responseWriter) bufferResponse(ctx context.Context, resp *connection.Response) (bufferedResponse, error) {
+	length, err := strconv.ParseInt(resp.Header.Get("Content-Length"), 10, 64)
+	if err != nil {
+		length = -1
 	}
+	data, err := rw.conn.ReadResponse(ctx, resp.Body, length, maxBufferedBytes)
 	if err == nil && eventstream.IsStream(resp.Header) {
 		events, _ := eventstream.Progress{}.With(data)
 		err = events.EndError(resp.Framing != connection.FramedByClose)
--- a/internal/wire/intake/body.go
+++ b/internal/wire/intake/body.go
@@ -36,6 +36,12 @@
 	return data, err
 }
 
+// ReadResponse reads the body of a target's response of at most limit bytes, with a length that its header names, below 0 if it names
+// none, as far as there is room for it.
+func (c *Conn) ReadResponse(ctx context.Context, body io.Reader, length, limit int64) ([]byte, error) {
+	return c.readAll(ctx, body, min(length, limit), limit, ForResponse)
+}
+
 // readAll reads a body to its end, in a buffer whose size the connection holds. Once the first part has come, the buffer has the whole
 // length, so that bodies that wait for room hold little.
 func (c *Conn) readAll(ctx context.Context, body io.Reader, length, limit int64, use Use) ([]byte, error) {
