--- a/internal/wire/intake/conn_test.go
+++ b/internal/wire/intake/conn_test.go
@@ -25,6 +25,7 @@
 		{"bare line feeds", "GET / HTTP/1.1\na: b\n\nrest", 21, true},
 		{"empty lines before a request", "\r\n\n\r\nGET / HTTP/1.1\r\n\r\nrest", 23, true},
 		{"without end", "GET / HTTP/1.1\r\na:\r\nb:\r\n", 24, false},
+		{"list of items", "GET / HTTP/1.1\r\na: 1,2,3\r\n\r\nx,y", 28, true},
 		{"only empty lines", "\r\n\r\n\r\n", 6, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -36,7 +37,8 @@
 					next, n, cc := m.with([]byte(c.data[at:min(len(c.data), at+size)]))
 					m, length, cost = next, length+n, cost+cc
 				}
-				wantCost := int64(strings.Count(c.data[:c.length], "\n"))*lineCost + int64(c.length)*byteCost
+				head := c.data[:c.length]
+				wantCost := int64(strings.Count(head, "\n"))*lineCost + int64(strings.Count(head, ","))*itemCost + int64(len(head))*byteCost
 				if length != c.length || m.isDone != c.isDone || cost != wantCost {
 					t.Fatalf("pieces of %d: got length %d, done %v, cost %d, want %d, %v, %d", size, length, m.isDone, cost, c.length, c.isDone, wantCost)
 				}
--- a/internal/wire/intake/head.go
+++ b/internal/wire/intake/head.go
@@ -8,6 +8,8 @@
 	lineCost = 512
 	// byteCost is the memory of each byte of a head: it is held as read, parsed, copied and as sent on.
 	byteCost = 4
+	// itemCost is the memory of each item of a list in a header, which is parsed and logged: a comma separates two of them.
+	itemCost = 128
 )
 
 // headMeter finds the end of a request head and what the head costs as it is read.
@@ -38,5 +40,6 @@
 		length += n + 1
 		lines++
 	}
-	return m, length, lines*lineCost + int64(length)*byteCost
+	items := int64(bytes.Count(data[:length], []byte(",")))
+	return m, length, lines*lineCost + items*itemCost + int64(length)*byteCost
 }
