--- a/internal/wire/intake/budget.go
+++ b/internal/wire/intake/budget.go
@@ -9,9 +9,10 @@
 type Phase string
 
 const (
-	// Opened connections have brought nothing yet, Idle ones wait for a further request.
+	// Opened connections have brought nothing yet.
 	Opened Phase = "opened"
-	Idle   Phase = "idle"
+	// Idle connections wait for a further request.
+	Idle Phase = "idle"
 	// Reading connections bring a head or a body.
 	Reading Phase = "reading"
 	// Serving connections have brought a whole request, which may run.
@@ -24,8 +25,9 @@
 type Use string
 
 const (
-	// ForRequest is for heads and bodies, which can be rejected. ForResponse is for responses to requests that have run.
-	ForRequest  Use = "request"
+	// ForRequest is for heads and bodies, which can be rejected.
+	ForRequest Use = "request"
+	// ForResponse is for responses to requests that have run.
 	ForResponse Use = "response"
 )
 
@@ -83,6 +85,8 @@
 	since    time.Time
 	held     int64
 	isEnding bool
+	// isWaiting is set while the connection waits for bytes.
+	isWaiting bool
 }
 
 // Budget decides on the bytes and connections of a node. It is not safe for concurrent use.
@@ -128,6 +132,7 @@
 	if b.fits(c, n, use) {
 		return b.grant(c, n)
 	}
+	c.isWaiting = true
 	if b.endingBytes >= n {
 		return Wait{}
 	}
@@ -135,15 +140,14 @@
 		return b.evict(victim)
 	}
 	switch {
-	case now.Sub(since) < b.limits.Wait:
-		return Wait{}
-	case use == ForRequest:
+	case use == ForResponse && b.isLargestOfWaiting(id, c):
+		// All that hold bytes wait for more, and none of them would ever end.
+		return b.grant(c, n)
+	case use == ForRequest && now.Sub(since) >= b.limits.Wait:
+		c.isWaiting = false
 		return Reject{}
-	case b.mayFree(id):
-		return Wait{}
 	default:
-		// Only requests that run hold bytes, and they may all wait for each other's.
-		return b.grant(c, n)
+		return Wait{}
 	}
 }
 
@@ -161,19 +165,24 @@
 }
 
 func (b *Budget) grant(c *state, n int64) Decision {
+	c.isWaiting = false
 	c.held += n
 	b.held += n
 	return Grant{}
 }
 
-// mayFree reports whether another connection holds bytes that do not belong to a running request.
-func (b *Budget) mayFree(id ID) bool {
+// isLargestOfWaiting reports whether all connections that hold bytes wait for more, and the one with an ID holds the most. The same one
+// stays the largest until it ends, so that only one is beyond the bound.
+func (b *Budget) isLargestOfWaiting(id ID, largest *state) bool {
 	for other, c := range b.conns {
-		if other != id && c.held > 0 && c.phase != Serving {
-			return true
+		if other == id || c.held == 0 {
+			continue
+		}
+		if !c.isWaiting || c.held > largest.held || (c.held == largest.held && other < id) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // oldest returns the connection that has been longest in one of the phases, of those that hold a number of bytes and have had their time.
@@ -232,7 +241,7 @@
 	if !ok || c.isEnding {
 		return false
 	}
-	c.phase, c.since = p, now
+	c.phase, c.since, c.isWaiting = p, now, false
 	return true
 }
 
--- a/internal/wire/intake/budget_test.go
+++ b/internal/wire/intake/budget_test.go
@@ -45,13 +45,18 @@
 		{"a response that is not read gives way", opened(3, Writing, 10*mb), ForResponse, 4 * mb, 3 * time.Second, 0, Evict{1, Writing}},
 		{"what runs does not give way", opened(3, Serving, 8*mb), ForRequest, 4 * mb, time.Minute, time.Second, Wait{}},
 		{"the one that waits is rejected", opened(3, Serving, 8*mb), ForRequest, 4 * mb, time.Minute, 3 * time.Second, Reject{}},
-		{"a response is not rejected", opened(3, Serving, 10*mb), ForResponse, 4 * mb, time.Minute, 3 * time.Second, Grant{}},
+		{"a response is not rejected", opened(3, Serving, 10*mb), ForResponse, 4 * mb, time.Minute, 3 * time.Second, Wait{}},
+		{"nor granted while a smaller one runs", opened(3, Serving, 10*mb).with(5, Serving, 1), ForResponse, 4 * mb, time.Minute, 3 * time.Second, Wait{}},
+		{"the largest is granted if all wait for each other", opened(3, Serving, 10*mb).waiting().with(9, Serving, 11*mb), ForResponse, 4 * mb, 0, 0, Grant{}},
+		{"but not a smaller one", opened(3, Serving, 10*mb).waiting().with(9, Serving, 9*mb), ForResponse, 4 * mb, time.Minute, 3 * time.Second, Wait{}},
 		{"a response waits for what will be freed", opened(3, Writing, 10*mb), ForResponse, 4 * mb, time.Second, 3 * time.Second, Wait{}},
 		{"those that hold less than is needed keep it", opened(3, Serving, 8*mb).with(5, Reading, 1000), ForRequest, 4 * mb, time.Minute, 0, Wait{}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := start.Add(c.after)
-			c.budget.with(9, Opened, 0)
+			if c.budget.conns[9] == nil {
+				c.budget.with(9, Opened, 0)
+			}
 			if got := c.budget.Acquire(now, 9, c.n, c.use, now.Add(-c.waited)); got != c.want {
 				t.Errorf("got %#v, want %#v", got, c.want)
 			}
@@ -59,6 +64,14 @@
 	}
 }
 
+// waiting makes all connections wait for bytes.
+func (b *Budget) waiting() *Budget {
+	for _, c := range b.conns {
+		c.isWaiting = true
+	}
+	return b
+}
+
 // with adds a connection that has just been opened.
 func (b *Budget) with(id ID, p Phase, held int64) *Budget {
 	b.conns[id] = &state{phase: p, since: start}
