--- a/cmd/lacewingdrift/platform.go
+++ b/cmd/lacewingdrift/platform.go
@@ -21,6 +21,8 @@
 const (
 	// logQueueSize is the maximum number of log lines that wait for a slow reader.
 	logQueueSize = 4096
+	// logQueueBytes is the maximum size of these lines together: a line is mostly below 1 kB, but may name a header of a caller.
+	logQueueBytes = 4 << 20
 	// logLinesPerSecond limits logging: at 15 us per line, it takes less than a tenth of a VM with a fifth of a core.
 	logLinesPerSecond = 1000
 	// heapShare is the part of the machine's memory, in sixteenths, from which on garbage is collected more often: the program's code, stacks
@@ -45,7 +47,7 @@
 		return err
 	}
 	debug.SetMemoryLimit(s.MemoryBytes / 16 * heapShare)
-	out := logging.NewBoundedWriter(logging.BoundedWriterConfig{Out: os.Stdout, QueueSize: logQueueSize, LinesPerSecond: logLinesPerSecond, Now: time.Now})
+	out := logging.NewBoundedWriter(logging.BoundedWriterConfig{Out: os.Stdout, QueueSize: logQueueSize, QueueBytes: logQueueBytes, LinesPerSecond: logLinesPerSecond, Now: time.Now})
 	log := logging.New(logging.Config{Level: "info", Format: "json", Out: out})
 	logging.RedirectGoZero(log)
 	connections := connection.NewPool()
--- a/internal/operator/logging/bounded.go
+++ b/internal/operator/logging/bounded.go
@@ -12,6 +12,8 @@
 	Out io.Writer
 	// QueueSize is the number of lines that may wait for a slow output.
 	QueueSize int
+	// QueueBytes is the number of bytes that these lines may have together, 0 for no bound. A line may name what a caller sent.
+	QueueBytes int64
 	// LinesPerSecond is the number of lines that are accepted in one second of the clock.
 	LinesPerSecond int64
 	Now            func() time.Time
@@ -22,6 +24,8 @@
 	cfg     BoundedWriterConfig
 	lines   chan []byte
 	dropped atomic.Int64
+	// queued are the bytes of the lines that wait or are being written.
+	queued atomic.Int64
 	// second is the clock second in which accepted counts lines.
 	second   atomic.Int64
 	accepted atomic.Int64
@@ -48,6 +52,7 @@
 		}
 		// An error of the log itself cannot be reported anywhere.
 		_, _ = b.cfg.Out.Write(line)
+		b.queued.Add(-int64(len(line)))
 	}
 }
 
@@ -77,10 +82,17 @@
 		b.dropped.Add(1)
 		return len(line), nil
 	}
+	size := int64(len(line))
+	if queued := b.queued.Add(size); b.cfg.QueueBytes > 0 && queued > b.cfg.QueueBytes {
+		b.queued.Add(-size)
+		b.dropped.Add(1)
+		return len(line), nil
+	}
 	c := append(make([]byte, 0, len(line)), line...)
 	select {
 	case b.lines <- c:
 	default:
+		b.queued.Add(-size)
 		b.dropped.Add(1)
 	}
 	return len(line), nil
--- a/internal/operator/logging/bounded_test.go
+++ b/internal/operator/logging/bounded_test.go
@@ -47,6 +47,23 @@
 	close(s.release)
 }
 
+// TestBoundedWriterBoundsBytes covers long lines, such as ones with what a caller sent, while the log reader has stopped.
+func TestBoundedWriterBoundsBytes(t *testing.T) {
+	s := blockedWriter{release: make(chan struct{})}
+	b := NewBoundedWriter(BoundedWriterConfig{Out: s, QueueSize: 1000, QueueBytes: 1000, LinesPerSecond: 1e6, Now: time.Now})
+	for range 100 {
+		_, _ = b.Write(bytes.Repeat([]byte("x"), 100))
+	}
+	if got, want := b.Dropped(), int64(90); got != want {
+		t.Errorf("got %d dropped lines, want %d", got, want)
+	}
+	close(s.release)
+	b.Close(make(chan struct{}))
+	if got, want := b.queued.Load(), int64(0); got != want {
+		t.Errorf("got %d queued bytes after the last line, want %d", got, want)
+	}
+}
+
 func TestBoundedWriterCloseWritesQueuedLines(t *testing.T) {
 	var out bytes.Buffer
 	b := newTestWriter(&out, 100, 1e6)
