--- a/internal/operator/gatewaynode/intake.go
+++ b/internal/operator/gatewaynode/intake.go
@@ -16,11 +16,10 @@
 	stallTime = 2 * time.Second
 	// roomWait is how long a request waits for memory before it is rejected: longer than readTime, so that what others hold is closed first.
 	roomWait = 3 * time.Second
-	// internalShare and internalMemoryShare are the parts of the descriptors and the memory that the readiness and metrics ports may use
-	// each, peerShare that of the descriptors for connections of other nodes.
-	internalShare       = 16
-	internalMemoryShare = 32
-	peerShare           = 4
+	// internalShare is the part of the descriptors and the memory that the readiness and metrics ports may use each, peerShare that of the
+	// descriptors for connections of other nodes.
+	internalShare = 32
+	peerShare     = 4
 	// peerHeaderBytes bounds the header of a call from another node; nodes send a few hundred bytes. The default of gRPC is 16 MB.
 	peerHeaderBytes = 16 << 10
 	// peerHandshakeTime bounds the handshake of a connection from another node.
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -191,7 +191,7 @@
 	server := transport.NewServer(h)
 	n.internalServers = append(n.internalServers, server)
 	s := n.cfg.Settings
-	bounded := intake.Serve(n.newGate(name, s.MemoryBytes/internalMemoryShare, s.MaxFiles/internalShare), server, l)
+	bounded := intake.Serve(n.newGate(name, s.MemoryBytes/internalShare, s.MaxFiles/internalShare), server, l)
 	go n.serve(name, func() error { return server.Serve(bounded) })
 	return nil
 }
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -51,13 +51,13 @@
 	return g.MemoryBytes * 3 / 8
 }
 
-// CallerConnections returns how many connections callers may have, 0 for no bound. By default it is half of the descriptors: each
-// request may need another one for its target.
+// CallerConnections returns how many connections callers may have, 0 for no bound. By default it is five sixteenths of the
+// descriptors: each request may need another one for its target, and other nodes, the store and the internal ports have the rest.
 func (g Gateway) CallerConnections() int {
 	if g.Callers.Connections > 0 {
 		return g.Callers.Connections
 	}
-	return g.MaxFiles / 2
+	return g.MaxFiles * 5 / 16
 }
 
 // RetryBudget limits the retries to a service over all nodes: the sends beyond the first of each request.
