--- a/internal/wire/intake/budget.go
+++ b/internal/wire/intake/budget.go
@@ -47,6 +47,9 @@
 // find room beside large ones.
 const smallBytes = 64 << 10
 
+// searchInterval is the time between two searches among all connections for one to close, since very many may wait.
+const searchInterval = 20 * time.Millisecond
+
 // share returns the part of the budget that large requests and responses may use. Requests get less, since the responses of those
 // that run need room to end.
 func (l Limits) share(use Use) int64 {
@@ -96,10 +99,14 @@
 	// held are all bytes, endingBytes and endingConns those of connections that are being closed for others.
 	held, endingBytes int64
 	endingConns       int
+	// searchAt is when a connection to close is looked for again after none was found, for those that need much and for the others.
+	searchAt map[bool]time.Time
 }
 
 // NewBudget returns an empty budget.
-func NewBudget(l Limits) *Budget { return &Budget{limits: l, conns: map[ID]*state{}} }
+func NewBudget(l Limits) *Budget {
+	return &Budget{limits: l, conns: map[ID]*state{}, searchAt: map[bool]time.Time{}}
+}
 
 // Held returns the bytes that are held.
 func (b *Budget) Held() int64 { return b.held }
@@ -136,8 +143,11 @@
 	if b.endingBytes >= n {
 		return Wait{}
 	}
-	if victim, ok := b.oldest(now, id, min(n, smallBytes), []Phase{Reading, Idle, Writing}); ok {
-		return b.evict(victim)
+	if isMuch := n >= smallBytes; !now.Before(b.searchAt[isMuch]) {
+		if victim, ok := b.oldest(now, id, min(n, smallBytes), []Phase{Reading, Idle, Writing}); ok {
+			return b.evict(victim)
+		}
+		b.searchAt[isMuch] = now.Add(searchInterval)
 	}
 	switch {
 	case use == ForResponse && b.isLargestOfWaiting(id, c):
