--- a/cmd/lacewingdrift/platform.go
+++ b/cmd/lacewingdrift/platform.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -20,8 +21,13 @@
 const (
 	// logQueueSize is the maximum number of log lines that wait for a slow reader.
 	logQueueSize = 4096
+	// logQueueBytes is the maximum size of these lines together: a line is mostly below 1 kB, but may name a header of a caller.
+	logQueueBytes = 4 << 20
 	// logLinesPerSecond limits logging: at 15 us per line, it takes less than a tenth of a VM with a fifth of a core.
 	logLinesPerSecond = 1000
+	// heapShare is the part of the machine's memory, in sixteenths, from which on garbage is collected more often: the program's code, stacks
+	// of other threads and the kernel's buffers need the rest.
+	heapShare = 11
 	// logFlushTimeout limits the time to write the last lines at the end.
 	logFlushTimeout = 100 * time.Millisecond
 )
@@ -40,7 +46,8 @@
 	if err != nil {
 		return err
 	}
-	out := logging.NewBoundedWriter(logging.BoundedWriterConfig{Out: os.Stdout, QueueSize: logQueueSize, LinesPerSecond: logLinesPerSecond, Now: time.Now})
+	debug.SetMemoryLimit(s.MemoryBytes / 16 * heapShare)
+	out := logging.NewBoundedWriter(logging.BoundedWriterConfig{Out: os.Stdout, QueueSize: logQueueSize, QueueBytes: logQueueBytes, LinesPerSecond: logLinesPerSecond, Now: time.Now})
 	log := logging.New(logging.Config{Level: "info", Format: "json", Out: out})
 	logging.RedirectGoZero(log)
 	connections := connection.NewPool()
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -21,6 +21,7 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/dispatch"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/gateway"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/intake"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/permit"
 	rolloutwire "github.com/lacewingdrift/lacewingdrift/internal/wire/rollout"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/snapshot"
@@ -161,14 +162,15 @@
 	if err != nil {
 		return err
 	}
-	n.peerServer = grpc.NewServer()
+	n.peerServer = newPeerServer()
 	dispatch.Register(n.peerServer, n.dispatcher)
 	permit.Register(n.peerServer, n.keeper)
 	snapshot.Register(n.peerServer, n.view)
 	if n.rollouts != nil {
 		rolloutwire.Register(n.peerServer, n.rollouts)
 	}
-	go n.serve("nodes", func() error { return n.peerServer.Serve(peers) })
+	peerListener := intake.Limit(n.newGate("nodes", 0, s.MaxFiles/peerShare), peers)
+	go n.serve("nodes", func() error { return n.peerServer.Serve(peerListener) })
 	callers, err := listen(s.CallerAddress)
 	if err != nil {
 		return err
@@ -176,7 +178,8 @@
 	// Uses the standard server without a library's router, because request targets must be forwarded unchanged.
 	n.callerServer = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: gateway.ConnContext}
 	n.callerListener = transport.NewListener(callers, n.callerServer, n.cfg.Now)
-	go n.serve("callers", func() error { return n.callerServer.Serve(n.callerListener) })
+	bounded := intake.Serve(n.newGate("callers", s.CallerMemory(), s.CallerConnections()), n.callerServer, n.callerListener)
+	go n.serve("callers", func() error { return n.callerServer.Serve(bounded) })
 	readyRoutes := []rest.Route{{Method: http.MethodGet, Path: n.cfg.ReadyPath, Handler: n.serveReady}}
 	if err := n.serveInternal(listen, "ready", s.ReadyAddress, readyRoutes); err != nil {
 		return err
@@ -197,7 +200,9 @@
 	}
 	server := transport.NewServer(h)
 	n.internalServers = append(n.internalServers, server)
-	go n.serve(name, func() error { return server.Serve(l) })
+	s := n.cfg.Settings
+	bounded := intake.Serve(n.newGate(name, s.MemoryBytes/internalShare, s.MaxFiles/internalShare), server, l)
+	go n.serve(name, func() error { return server.Serve(bounded) })
 	return nil
 }
 
--- a/internal/operator/gatewaynode/unreadable.go
+++ b/internal/operator/gatewaynode/unreadable.go
@@ -140,6 +140,8 @@
 		_, err = p.ParseTarget(v.cfg.Now(), o)
 	case o.Kind == p.EvacuationKind:
 		return false
+	case o.Kind == p.RolloutKind:
+		_, _, err = p.ParseRollout(o)
 	case o.Name == p.QuarantineName:
 		_, err = p.ParseQuarantine(o)
 	case p.CrashReportNode(o.Name) != "":
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -34,6 +34,7 @@
 	ColdLimit   ColdLimit
 	// Rollout is zero where the deployment has no rollouts.
 	Rollout Rollout
+	Callers CallerBounds
 }
 
 // Rollout limits what a bad version of a service may cost while it replaces another one.
@@ -45,6 +46,31 @@
 	Rollback time.Duration
 }
 
+// CallerBounds bound what all callers of a node may hold, 0 for the default.
+type CallerBounds struct {
+	// MemoryBytes is for requests and responses, Connections for open connections.
+	MemoryBytes int64
+	Connections int
+}
+
+// CallerMemory returns the bytes that requests and responses of callers may hold, 0 for no bound. By default it is three eighths of the
+// memory: the Go heap may grow to about twice what is held before it is collected.
+func (g Gateway) CallerMemory() int64 {
+	if g.Callers.MemoryBytes > 0 {
+		return g.Callers.MemoryBytes
+	}
+	return g.MemoryBytes * 3 / 8
+}
+
+// CallerConnections returns how many connections callers may have, 0 for no bound. By default it is five sixteenths of the
+// descriptors: each request may need another one for its target, and other nodes, the store and the internal ports have the rest.
+func (g Gateway) CallerConnections() int {
+	if g.Callers.Connections > 0 {
+		return g.Callers.Connections
+	}
+	return g.MaxFiles * 5 / 16
+}
+
 // RetryBudget limits the retries to a service over all nodes: the sends beyond the first of each request.
 type RetryBudget struct {
 	Ratio  float64
