--- a/internal/serving/batch/speed.go
+++ b/internal/serving/batch/speed.go
@@ -173,7 +173,8 @@
 		if spare < 0 {
 			continue
 		}
-		calls := 1 + int(spare/st.duration(now, profile, n))
+		// A profile may name no time at all.
+		calls := 1 + int(spare/max(1, st.duration(now, profile, n)))
 		left -= n * min(calls, s.waiting.Len())
 		if free.IsZero() || st.freeAt.Before(free) {
 			free = st.freeAt
--- a/internal/serving/batch/speed_test.go
+++ b/internal/serving/batch/speed_test.go
@@ -386,3 +386,23 @@
 		})
 	}
 }
+
+// TestProfileWithoutTime guards against a configuration that names no time for calls, by which the time that is left would be divided.
+func TestProfileWithoutTime(t *testing.T) {
+	profile := testProfile
+	profile.CallTime, profile.PieceTime = 0, 0
+	s := newTestScheduler("busy", "idle")
+	s.basis = speed.Reported
+	for _, st := range s.targets {
+		st.speed = st.speed.WithReport(start, 1)
+	}
+	s.targets["busy"].busy, s.targets["busy"].freeAt = true, start.Add(time.Millisecond)
+	s.addPieces(2, 1)
+	if got := s.isTakenBefore(start, start.Add(time.Hour), profile); !got {
+		t.Error("got pieces not taken within an hour by calls that take no time, want them taken")
+	}
+	s.StartRound()
+	if c, ok := s.NextCall(start, profile); !ok || c.Target.ID != "idle" {
+		t.Error("got no call at the idle target, want one")
+	}
+}
