--- a/internal/serving/batch/room_test.go
+++ b/internal/serving/batch/room_test.go
@@ -17,7 +17,13 @@
 	now := start.Add(time.Second)
 	c.Fail(now)
 	c.RecordUnanswered(now, testProfile)
+	if got := len(s.TargetsToProbe(now)); got > 0 {
+		t.Errorf("got %d targets to probe right after a failed call, want none", got)
+	}
 	now = now.Add(minBackoff)
+	if got, want := len(s.TargetsToProbe(now)), 1; got != want {
+		t.Errorf("got %d targets to probe after the back-off, want %d", got, want)
+	}
 	s.addPieces(4, 250)
 	s.StartRound()
 	if _, ok := s.NextCall(now, testProfile); ok {
--- a/internal/serving/batch/scheduler.go
+++ b/internal/serving/batch/scheduler.go
@@ -155,7 +155,7 @@
 func (s *Scheduler) TargetsToProbe(now time.Time) []registry.Target {
 	var list []registry.Target
 	for _, st := range s.targets {
-		if now.Before(st.pausedUntil) || st.limit.IsSet() || st.probed && st.untrackedBytes(now) == 0 || (!st.probedAt.IsZero() && now.Sub(st.probedAt) < probeInterval) {
+		if st.unavailable(now) || st.limit.IsSet() || st.probed && st.untrackedBytes(now) == 0 || (!st.probedAt.IsZero() && now.Sub(st.probedAt) < probeInterval) {
 			continue
 		}
 		st.probedAt = now
--- a/internal/wire/dispatch/room.go
+++ b/internal/wire/dispatch/room.go
@@ -19,7 +19,7 @@
 		return
 	}
 	c.RecordUnanswered(now, profile)
-	d.probeTargets(now, s, profile)
+	// The target is asked for its space once its back-off is over.
 	d.scheduleRecheck(s)
 }
 
