--- a/internal/operator/gatewaynode/quarantine.go
+++ b/internal/operator/gatewaynode/quarantine.go
@@ -20,8 +20,10 @@
 	reportInterval = 20 * time.Millisecond
 	// clearanceDelay bounds the time after which a node writes a clearance, unless another node has written the same.
 	clearanceDelay = 300 * time.Millisecond
-	// reportRetry is the delay before another attempt to write the report.
-	reportRetry = 300 * time.Millisecond
+	// reportRetry is the delay before another attempt to write the report; it doubles up to maxReportRetry while the store does not
+	// answer, since all nodes that have seen a crash write at once.
+	reportRetry    = 300 * time.Millisecond
+	maxReportRetry = 2400 * time.Millisecond
 )
 
 // crashReporter writes the node's report of crashes to the store, and logs the verdicts that follow from all reports.
@@ -91,10 +93,12 @@
 	ctx = object.WithPurpose(ctx, object.PurposeReport)
 	kind, name := cfg.Platform.NodeKind, cfg.Platform.CrashReportName(cfg.Settings.Name)
 	version := c.node.view.cachedVersion(kind, name)
+	retry := reportRetry
 	for ctx.Err() == nil {
 		if err := c.node.view.shared.ensureKey(ctx); err != nil {
 			cfg.Log.WithError(err).Warn("fleet: writing the key that requests are named with failed")
-			c.sleep(ctx, reportRetry)
+			c.sleep(ctx, retry)
+			retry = min(2*retry, maxReportRetry)
 			continue
 		}
 		report := c.keeper.Own(cfg.Now())
@@ -117,7 +121,8 @@
 			continue
 		}
 		cfg.Log.WithError(err).Warn("fleet: writing the node's report of crashes failed")
-		c.sleep(ctx, reportRetry)
+		c.sleep(ctx, retry)
+		retry = min(2*retry, maxReportRetry)
 	}
 }
 
