--- a/internal/fleet/rollout/keeper.go
+++ b/internal/fleet/rollout/keeper.go
@@ -385,8 +385,7 @@
 	Unknown Result = "unknown"
 )
 
-// End counts the end of a send at now; expected is how long it should have taken, 0 if that is not known. Times are compared in
-// relation to it.
+// End counts the end of a send at now.
 func (k *Keeper) End(now time.Time, s Send, r Result) {
 	if s.service == "" {
 		return
