--- a/internal/bench/simulation/heavy_test.go
+++ b/internal/bench/simulation/heavy_test.go
@@ -1,7 +1,6 @@
 package simulation
 
 import (
-	"os"
 	"testing"
 	"time"
 )
@@ -14,11 +13,6 @@
 	for i := range d.Kinds {
 		d.Kinds[i].Rate *= rate
 	}
-	if os.Getenv("HEAVY_OBJECTIVES") != "" {
-		for i, objective := range []time.Duration{4 * time.Second, 1400 * ms, 1100 * ms} {
-			d.Kinds[i].Route.LatencyObjective = objective
-		}
-	}
 	for i := range d.Services {
 		d.Services[i].Batching.ResultSpace = int64(room * float64(d.Services[i].Batching.ResultSpace))
 	}
@@ -74,38 +68,3 @@
 	}
 	return 0
 }
-
-// TestPrintHeavy prints the results of heavy runs for comparisons by hand.
-func TestPrintHeavy(t *testing.T) {
-	if os.Getenv("HEAVY") == "" {
-		t.Skip("set HEAVY to print the results")
-	}
-	losses := []time.Duration{0, 9 * time.Second}
-	switch os.Getenv("HEAVY") {
-	case "loss":
-		losses = losses[1:]
-	case "none":
-		losses = losses[:1]
-	}
-	for _, rate := range []float64{0.8, 1.1} {
-		for _, room := range []float64{1, 0.5} {
-			for _, loss := range losses {
-				var credit, wasted, used, noRoom, gone, n float64
-				var p95 time.Duration
-				kinds := map[string][4]int{}
-				largest := map[string]int{}
-				for seed := uint64(1); seed <= 5; seed++ {
-					r := Run(Config{Deployment: heavyDeployment(rate, room), Scenario: heavyScenario(loss), Policy: Product, Seed: seed})
-					credit, wasted, used, noRoom, gone, n = credit+r.Credit, wasted+r.WastedSeconds, used+r.StageSeconds, noRoom+float64(r.NoRoom), gone+float64(r.InputGone), n+1
-					p95 += r.RefusedP95
-					for _, k := range r.Kinds {
-						x := kinds[k.Kind]
-						largest[k.Kind] += int(200 * k.LargestOnTime)
-						kinds[k.Kind] = [4]int{x[0] + k.Offered, x[1] + k.OnTime, x[2] + k.Late, x[3] + k.Failed}
-					}
-				}
-				t.Logf("rate %.2f room %.2f loss %5s: credit %.4f wasted %5.2f s of %.0f busy %.2f noroom %.0f gone %.0f refused p95 %s kinds %v largest tenth on time, in 1000 %v", rate, room, loss, credit/n, wasted/n, used/n, used/n/15/45, noRoom/n, gone/n, p95/5, kinds, largest)
-			}
-		}
-	}
-}
