--- a/cmd/lacewingdrift/rollout_orders.go
+++ b/cmd/lacewingdrift/rollout_orders.go
@@ -23,7 +23,7 @@
 // maxAbortTries bounds the tries to remove an order whose status the nodes write meanwhile, which they do twice at most.
 const maxAbortTries = 5
 
-// errOutcomeUnknown is the error of a write of which neither its answer nor the store tells whether it took effect.
+// errOutcomeUnknown is the error of a write whose outcome is unknown: it got no answer, and the store cannot be read.
 var errOutcomeUnknown = merry.Sentinel("whether it took effect is not known; see rollout status")
 
 // violation returns the error for a field of an order.
--- a/internal/fleet/rollout/judge.go
+++ b/internal/fleet/rollout/judge.go
@@ -59,8 +59,8 @@
 // Judge compares the responses of the new version with those of the other versions on the same routes, both as a whole and
 // by what has been counted since an earlier sum, so that a version that turns bad later does not hide behind its good start.
 //
-// It answers loads in which single targets of both versions crash, fail a part of their requests or are slow: the worst fifth of
-// the new version's targets is left out, and what happens to the other versions too is no evidence.
+// Load: single targets of both versions crash, fail a part of their requests or are slow. The worst fifth of the new version's targets
+// is left out, and what happens to the other versions too is no evidence.
 func Judge(total, earlier Sum) Verdict {
 	for _, s := range []Sum{total, total.Since(earlier)} {
 		if v, isBad := judgeSum(s); isBad {
--- a/internal/wire/rollout/follower_test.go
+++ b/internal/wire/rollout/follower_test.go
@@ -67,8 +67,8 @@
 // isFinal reports whether the node knows a final state.
 func (n testNode) isFinal() bool { return len(n.keeper.Rollouts()) == 0 }
 
-// startNodes starts nodes, best ranked first, of which the first dead ones have entries only. fails tells whether a response of the new
-// version fails.
+// startNodes starts nodes, best ranked first, of which the first dead ones have entries only. fails reports whether a response of the
+// new version fails.
 func startNodes(t *testing.T, store *fakeStore, count, dead int, fails func(i int) bool) []testNode {
 	var names []string
 	for i := range count {
