--- a/review/drill/drill.go
+++ b/review/drill/drill.go
@@ -55,8 +55,8 @@
 	file      *os.File
 	processes []*process
 	engines   map[string]*engine
-	// runs counts the times that an engine began to work on a request, by the request's ID.
-	runs map[string]int
+	// tenants has the tenant that an engine was given each time that one began to work on a request, by the request's ID.
+	tenants map[string][]string
 }
 
 func newDrill(folder string) (*drill, error) {
@@ -70,7 +70,7 @@
 	}
 	d := &drill{
 		trouble: os.Getenv("TROUBLE") != "0", tmp: tmp, started: time.Now(), record: bufio.NewWriter(f), file: f,
-		engines: map[string]*engine{}, runs: map[string]int{},
+		engines: map[string]*engine{}, tenants: map[string][]string{},
 	}
 	if d.prefix, err = freePrefix(); err != nil {
 		return nil, err
--- a/review/drill/engine.go
+++ b/review/drill/engine.go
@@ -93,7 +93,7 @@
 	parts := strings.Split(r.URL.Path, "/")
 	ms, _ := strconv.Atoi(parts[len(parts)-1])
 	took := time.Duration(ms) * time.Millisecond
-	e.say("run %s", id)
+	e.say("run %s %s", id, r.Header.Get("X-Tenant"))
 	var pieces []string
 	kind := "application/json"
 	if strings.HasPrefix(r.URL.Path, "/letter/") || strings.HasPrefix(r.URL.Path, "/draft/") {
@@ -194,10 +194,10 @@
 			close(listens)
 			return
 		}
-		what, request, _ := strings.Cut(line, " ")
-		if what == "run" {
+		if what, rest, _ := strings.Cut(line, " "); what == "run" {
+			request, tenant, _ := strings.Cut(rest, " ")
 			d.mu.Lock()
-			d.runs[request]++
+			d.tenants[request] = append(d.tenants[request], tenant)
 			d.mu.Unlock()
 		}
 		d.note("engine %s: %s", x.id, line)
