Review: order the cases, drop the one on the store's address

Cause: case 6 is the gravest.

Change: the cases stand by gravity; case 7 lets one of four engines leave, as the site file does; the engine stand-in also runs stages.

--- a/review/drill/drill.go
+++ b/review/drill/drill.go
@@ -27,7 +27,10 @@
 	startTimeout = 20 * time.Second
 	// heartbeat is the heartbeatMs of the settings.
 	heartbeat = 1200 * time.Millisecond
-	drainTime = 2 * time.Second
+	// drainTime, configApply and contact are drainMs, configApplyMs and contactMs.
+	drainTime   = 2 * time.Second
+	configApply = 2 * time.Second
+	contact     = 3 * time.Second
 )
 
 // process is a process that the drill started.
--- a/review/drill/engine.go
+++ b/review/drill/engine.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,9 +18,10 @@
 	"time"
 )
 
-// engineServer stands in for the processes of an engine. The last part of a path names how long the answer takes in milliseconds.
+// engineServer stands in for the processes of an engine. The last part of a path names how long the answer takes from its first part on, in
+// milliseconds; a part before it that begins with w names how long that takes.
 type engineServer struct {
-	id string
+	id, address string
 	// unframed makes answers end with their connection, uneven makes the IDs of events rise by more than one in the end.
 	unframed, uneven bool
 	lines            sync.Mutex
@@ -30,17 +33,18 @@
 	rowCount   = 40
 )
 
+// runEngine serves until it fails, and returns why.
 func runEngine(args []string) error {
 	flags := flag.NewFlagSet("engine", flag.ContinueOnError)
-	address := flags.String("address", "", "IP:PORT")
 	e := &engineServer{}
+	flags.StringVar(&e.address, "address", "", "IP:PORT")
 	flags.StringVar(&e.id, "id", "", "ID of the engine")
 	flags.BoolVar(&e.unframed, "unframed", false, "answers have no length")
 	flags.BoolVar(&e.uneven, "uneven", false, "events hold several tokens after the first ones")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", *address)
+	l, err := net.Listen("tcp", e.address)
 	if err != nil {
 		return err
 	}
@@ -69,10 +73,11 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
-		if !e.answer(c, r) {
+		if isStage := strings.HasPrefix(r.URL.Path, "/stage-") || r.URL.Path == "/report"; isStage && !e.answerStage(c, r, body) || !isStage && !e.answer(c, r) {
 			return
 		}
 	}
@@ -93,10 +98,15 @@
 	parts := strings.Split(r.URL.Path, "/")
 	ms, _ := strconv.Atoi(parts[len(parts)-1])
 	took := time.Duration(ms) * time.Millisecond
+	for _, part := range parts {
+		if n, err := strconv.Atoi(strings.TrimPrefix(part, "w")); err == nil && strings.HasPrefix(part, "w") {
+			time.Sleep(time.Duration(n) * time.Millisecond)
+		}
+	}
 	e.say("run %s %s", id, r.Header.Get("X-Tenant"))
 	var pieces []string
 	kind := "application/json"
-	if strings.HasPrefix(r.URL.Path, "/letter/") || strings.HasPrefix(r.URL.Path, "/draft/") {
+	if isStream(r.URL.Path) {
 		pieces, kind = events(id, e.uneven, r.Header.Get("Last-Event-Id")), "text/event-stream"
 	} else {
 		pieces = rows(id)
@@ -128,6 +138,45 @@
 	return err == nil
 }
 
+// isStream reports whether a path is that of a stream.
+func isStream(path string) bool {
+	return slices.ContainsFunc([]string{"/letter/", "/draft/", "/chat/"}, func(prefix string) bool { return strings.HasPrefix(path, prefix) })
+}
+
+// The time of a stage call, and of each piece in it.
+const (
+	callTime  = 200 * time.Millisecond
+	pieceTime = 21 * time.Millisecond
+)
+
+// answerStage answers a call of an engine of a stage, and reports whether the connection stays open.
+func (e *engineServer) answerStage(c net.Conn, r *http.Request, body []byte) bool {
+	text := "{}"
+	switch r.URL.Path {
+	case "/report":
+		text = `{"queued":0,"busy":0,"freeMb":18.0}`
+	case "/stage-run":
+		var call struct {
+			Entries []struct {
+				ID      string `json:"id"`
+				Segment int    `json:"segment"`
+			} `json:"entries"`
+		}
+		if err := json.Unmarshal(body, &call); err != nil {
+			return false
+		}
+		time.Sleep(callTime + time.Duration(len(call.Entries))*pieceTime)
+		var list []string
+		for _, x := range call.Entries {
+			list = append(list, fmt.Sprintf(`{"handle":"%s/%s%02x"}`, e.address, x.ID, x.Segment))
+			e.say("made %s %d", x.ID, x.Segment)
+		}
+		text = `{"entries":[` + strings.Join(list, ",") + `]}`
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Backend-Load: 0,0,1\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	return err == nil
+}
+
 // rows returns an answer that is not a stream, in the parts in which it is sent.
 func rows(id string) []string {
 	list := []string{`{"request":"` + id + `","rows":[` + "\n"}
--- a/review/drill/leaving.go
+++ b/review/drill/leaving.go
@@ -21,6 +21,9 @@
 	got   reply
 }
 
+// enginesEach is the number of engines of each service, of which one leaves.
+const enginesEach = 4
+
 // leavingRoutes are the paths of the requests of the case.
 var leavingRoutes = []struct{ name, method, prefix string }{
 	{"unsafe", "POST", "/charge/"}, {"stream that may not be resumed", "POST", "/letter/"}, {"stream that may be resumed", "POST", "/draft/"},
@@ -36,7 +39,11 @@
 		newRoute("/draft/", "streaming", "redactor44a", timeout, route{"itlTargetMs": 800, "resumable": true, "attempts": 2}),
 	)
 	var engines []*engine
-	for i, service := range []string{"caja44a", "caja44a", "redactor44a", "redactor44a"} {
+	for i := range 2 * enginesEach {
+		service := "caja44a"
+		if i >= enginesEach {
+			service = "redactor44a"
+		}
 		e, err := d.startEngine(i, fmt.Sprintf("i-7f3a91c%d", i), service, "-unframed")
 		if err != nil {
 			return false, err
@@ -47,6 +54,7 @@
 	if err != nil {
 		return false, err
 	}
+	billing, writing := engines[0], engines[enginesEach]
 	for _, s := range d.sendAll(nodes, 1, 200*time.Millisecond) {
 		if s.got.status != 200 || !s.got.complete || s.got.body != s.whole {
 			d.note("calm request %s %s: %v", s.id, s.path, s.got)
@@ -54,16 +62,16 @@
 		}
 	}
 	done := make(chan []*sent, 1)
-	go func() { done <- d.sendAll(nodes, 4, 6*time.Second) }()
+	go func() { done <- d.sendAll(nodes, 8, 6*time.Second) }()
 	time.Sleep(500 * time.Millisecond)
 	if reports {
-		d.drain(engines[0])
-		d.unlist(engines[2])
+		d.drain(billing)
+		d.unlist(writing)
 	}
 	if d.trouble {
 		time.Sleep(drainTime + time.Second)
-		d.kill(engines[0])
-		d.kill(engines[2])
+		d.kill(billing)
+		d.kill(writing)
 	}
 	short := 0
 	for _, s := range <-done {
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -20,11 +20,8 @@
 
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == "engine" {
-		if err := runEngine(os.Args[2:]); err != nil {
-			fmt.Fprintln(os.Stderr, "engine:", err)
-			os.Exit(exitNotRun)
-		}
-		return
+		fmt.Fprintln(os.Stderr, "engine:", runEngine(os.Args[2:]))
+		os.Exit(exitNotRun)
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: drill CASE FOLDER, from the root of the repository")
--- a/review/drill/store.go
+++ b/review/drill/store.go
@@ -35,8 +35,7 @@
 // store stands in for the platform's store. It keeps all of its history.
 type store struct {
 	address string
-	// servers are one for each address at which the store listens, the first for address.
-	servers []*http.Server
+	server  *http.Server
 
 	mu       sync.Mutex
 	revision uint64
@@ -46,30 +45,17 @@
 }
 
 func startStore(address string) (*store, error) {
-	s := &store{address: address, revision: 1, objects: map[string]object{}, changed: make(chan struct{})}
-	return s, s.listen(address)
-}
-
-// listen serves the store at one more address.
-func (s *store) listen(address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
-	s.servers = append(s.servers, server)
-	go func() { _ = server.Serve(l) }()
-	return nil
+	s := &store{address: address, revision: 1, objects: map[string]object{}, changed: make(chan struct{})}
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.server.Serve(l) }()
+	return s, nil
 }
 
-// leave closes the first address.
-func (s *store) leave() { _ = s.servers[0].Close() }
-
-func (s *store) close() {
-	for _, server := range s.servers {
-		_ = server.Close()
-	}
-}
+func (s *store) close() { _ = s.server.Close() }
 
 // put writes an object as its owner does, without a condition.
 func (s *store) put(kind, name string, spec any) {
@@ -288,13 +274,22 @@
 	testHost = "pule25.example"
 	testKey  = "9dnn2ctnfzs989anu6ws"
 	tenant   = "bozi300"
+	// stagePrefix begins the names of services whose engines run stages.
+	stagePrefix = "portal"
 )
 
 // putConfig writes a version of the configuration.
 func (s *store) putConfig(version int, services []string, routes ...route) {
 	var list []any
 	for _, name := range services {
-		list = append(list, map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 360, "protocol": "h1", "tls": false, "coldS": 0.0, "coldPerS": 0.0})
+		x := map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 360, "protocol": "h1", "tls": false, "coldS": 0.0, "coldPerS": 0.0}
+		if strings.HasPrefix(name, stagePrefix) {
+			x["segments"] = map[string]any{
+				"slots": 1, "queue": 2, "batch": 8, "callMs": callTime.Milliseconds(), "itemMs": pieceTime.Milliseconds(), "headroomMb": 18.0, "handleTtlS": 4.0,
+				"linkMbps": 10000,
+			}
+		}
+		list = append(list, x)
 	}
 	s.put("config", "main", map[string]any{
 		"version": version, "routeList": routes, "services": list,
