--- a/review/drill/added.go
+++ b/review/drill/added.go
@@ -12,6 +12,8 @@
 const (
 	// longWait is how long a long prompt takes to its first event.
 	longWait = 3 * time.Second
+	// aloneTime is how long the added route is used when the first one is not any more.
+	aloneTime = 8 * time.Second
 	// minAdded is the number of requests on routes that were added later from which the rule holds.
 	minAdded = 20
 )
@@ -39,11 +41,11 @@
 	}
 	first := &tally{phase: "letters", sent: map[string]int{}, served: map[string]int{}, reasons: map[string]int{}}
 	later := &tally{phase: "chat", sent: map[string]int{}, served: map[string]int{}, reasons: map[string]int{}}
-	stop := make(chan struct{})
+	stopLetters, stop := make(chan struct{}), make(chan struct{})
 	var clients sync.WaitGroup
 	for i := range 12 {
 		clients.Go(func() {
-			d.repeat(first, nodes[i%len(nodes)].frontend, stop, func(id string) request {
+			d.repeat(first, nodes[i%len(nodes)].frontend, stopLetters, func(id string) request {
 				return request{method: http.MethodPost, path: fmt.Sprintf("/letter/w%d/1000", wait.Milliseconds()), deadline: 14 * time.Second, within: 15 * time.Second, body: `{"letter":"` + id + `"}`}
 			})
 		})
@@ -63,12 +65,19 @@
 		})
 	}
 	time.Sleep(20 * time.Second)
+	// What becomes of the added route without the first one is recorded, and not judged.
+	close(stopLetters)
+	time.Sleep(longWait + time.Second)
+	later.enter("chat alone")
+	time.Sleep(aloneTime)
+	later.enter("over")
 	close(stop)
 	clients.Wait()
-	for _, t := range []*tally{first, later} {
-		d.note("%s: sent %d, served %d", t.phase, t.sent[t.phase], t.served[t.phase])
+	d.note("chat alone: sent %d, served %d", later.sent["chat alone"], later.served["chat alone"])
+	for name, t := range map[string]*tally{"letters": first, "chat": later} {
+		d.note("%s: sent %d, served %d", name, t.sent[name], t.served[name])
 		for reason, count := range t.reasons {
-			d.note("%s: not served %d times: %s", t.phase, count, reason)
+			d.note("%s: not served %d times: %s", name, count, reason)
 		}
 	}
 	if 4*first.served["letters"] < 3*first.sent["letters"] || later.sent["chat"] < minAdded {
@@ -85,8 +94,12 @@
 			return
 		case <-time.After(200 * time.Millisecond):
 		}
-		r := next("")
-		r.id, r.host = newID(), testHost
+		id := newID()
+		r := next(id)
+		r.id, r.host = id, testHost
+		t.mu.Lock()
+		phase := t.phase
+		t.mu.Unlock()
 		c, err := dial(frontend)
 		if err != nil {
 			continue
@@ -95,9 +108,9 @@
 		c.close()
 		d.note("client has for %s %s: %v", r.id, r.path, a)
 		t.mu.Lock()
-		t.sent[t.phase]++
+		t.sent[phase]++
 		if a.status == http.StatusOK && a.complete {
-			t.served[t.phase]++
+			t.served[phase]++
 		} else {
 			t.reasons[fmt.Sprintf("%d %.40q", a.status, a.body)]++
 		}
