Log the key state, team and publicness of each request

The line 'gateway: request' names neither the team nor whether a key came and was held in the version in force, so that three explanations look the same: the key is not looked up, the version in force lacks the key, or the team is known and its header is not written. Change: the line has key (none, held, unknown), public and team; no logic changes.

--- a/internal/catalog/route/route.go
+++ b/internal/catalog/route/route.go
@@ -175,6 +175,29 @@
 	return team, ok
 }
 
+// KeyState is what a table says of the API key of a request.
+type KeyState string
+
+const (
+	// KeyAbsent means that the request carries no key.
+	KeyAbsent KeyState = "none"
+	// KeyHeld means that a team holds the key.
+	KeyHeld KeyState = "held"
+	// KeyUnknown means that no team holds the key.
+	KeyUnknown KeyState = "unknown"
+)
+
+// KeyState returns the state of an API key, "" for no key.
+func (t *Table) KeyState(key string) KeyState {
+	if key == "" {
+		return KeyAbsent
+	}
+	if _, ok := t.apiKeys[key]; !ok {
+		return KeyUnknown
+	}
+	return KeyHeld
+}
+
 // RequiresKey reports whether requests to routes that are not public need an API key.
 func (t *Table) RequiresKey() bool { return t.requiresKey }
 
--- a/internal/wire/gateway/outcome.go
+++ b/internal/wire/gateway/outcome.go
@@ -193,6 +193,13 @@
 	}
 	if rs.table != nil {
 		rs.log["version"] = rs.table.Version
+		rs.log["key"] = string(rs.table.KeyState(rs.APIKey))
+	}
+	if rs.route.Public {
+		rs.log["public"] = true
+	}
+	if rs.team.Name != "" {
+		rs.log["team"] = rs.team.Name
 	}
 	if o.reason != "" {
 		rs.log["cause"] = string(o.cause)
