Give requests on public routes the team of their key

Cause: one condition decided whether a caller may use a route and whose request it is, so that a public route, which needs no key, never looked the key up. Change: route.Table.Caller decides both from the route and the key, on every route. An empty key in the configuration is no longer held by callers who send none.

--- a/internal/catalog/route/route.go
+++ b/internal/catalog/route/route.go
@@ -169,12 +169,6 @@
 	return Route{}, false
 }
 
-// TeamByKey returns the team that holds an API key, or false if the key is not valid.
-func (t *Table) TeamByKey(key string) (Team, bool) {
-	team, ok := t.apiKeys[key]
-	return team, ok
-}
-
 // KeyState is what a table says of the API key of a request.
 type KeyState string
 
@@ -198,8 +192,18 @@
 	return KeyHeld
 }
 
-// RequiresKey reports whether requests to routes that are not public need an API key.
-func (t *Table) RequiresKey() bool { return t.requiresKey }
+// Caller returns the team that a request of a route belongs to, which is the one that holds its API key, and false if the request is not
+// allowed. A public route needs no key, and then the request belongs to no team.
+func (t *Table) Caller(r Route, key string) (team Team, isAllowed bool) {
+	if !t.requiresKey {
+		return Team{}, true
+	}
+	if key == "" {
+		return Team{}, r.Public
+	}
+	team, isHeld := t.apiKeys[key]
+	return team, isHeld || r.Public
+}
 
 // Service returns a service by name.
 func (t *Table) Service(name string) (Service, bool) {
--- a/internal/wire/gateway/gateway.go
+++ b/internal/wire/gateway/gateway.go
@@ -247,10 +247,8 @@
 	if rs.route, ok = rs.table.Match(rs.Host, rs.Path); !ok {
 		return denial(http.StatusNotFound, causeRoute, "no route")
 	}
-	if rs.table.RequiresKey() && !rs.route.Public {
-		if rs.team, ok = rs.table.TeamByKey(rs.APIKey); !ok {
-			return denial(http.StatusUnauthorized, causeKey, "key is not known")
-		}
+	if rs.team, ok = rs.table.Caller(rs.route, rs.APIKey); !ok {
+		return denial(http.StatusUnauthorized, causeKey, "key is not known")
 	}
 	if rs.Invalid != nil {
 		return denial(http.StatusBadRequest, causeHeader, rs.Invalid.Error())
