--- a/internal/catalog/route/route.go
+++ b/internal/catalog/route/route.go
@@ -193,7 +193,7 @@
 }
 
 // Caller returns the team that a request of a route belongs to, which is the one that holds its API key, and false if the request is not
-// allowed. A public route needs no key, and then the request belongs to no team.
+// allowed. A public route needs no key, but no route accepts one that no team holds.
 func (t *Table) Caller(r Route, key string) (team Team, isAllowed bool) {
 	if !t.requiresKey {
 		return Team{}, true
@@ -201,8 +201,8 @@
 	if key == "" {
 		return Team{}, r.Public
 	}
-	team, isHeld := t.apiKeys[key]
-	return team, isHeld || r.Public
+	team, isAllowed = t.apiKeys[key]
+	return team, isAllowed
 }
 
 // Service returns a service by name.
--- a/internal/catalog/route/route_test.go
+++ b/internal/catalog/route/route_test.go
@@ -2,7 +2,8 @@
 
 import "testing"
 
-// TestCaller covers keys on public routes, which need none: a request with a key belongs to the team that holds it, on every route.
+// TestCaller covers keys on public routes, which need none: a request with a key belongs to the team that holds it, on every route,
+// and is denied if none does.
 func TestCaller(t *testing.T) {
 	keeper := Team{Name: "keepers", Priority: 1, HasPriority: true}
 	withTeams := NewTable(Config{RequiresKey: true, APIKeys: map[string]Team{"k1": keeper, "": {Name: "nobody"}}})
@@ -18,6 +19,7 @@
 		{name: "held key", table: withTeams, key: "k1", want: keeper},
 		{name: "held key, public route", table: withTeams, isPublic: true, key: "k1", want: keeper},
 		{name: "unknown key", table: withTeams, key: "k2", denied: true},
+		{name: "unknown key, public route", table: withTeams, isPublic: true, key: "k2", denied: true},
 		{name: "no key", table: withTeams, denied: true},
 		{name: "no key, public route", table: withTeams, isPublic: true},
 		{name: "key without teams", table: withoutTeams, key: "k1"},
