Keep unfinished events of streams without copying them, and count them

Callers saw (a report of other operators): a node that runs out of memory by a faulty target that sends bytes without end. Cause: an event without end was copied with each read that added to it, which made garbage faster than it is collected where many callers ask at once, and it did not count in the memory that the node gives its callers. Ruled out: endless heads (108 MB with all kinds on all routes) and bodies that are read whole, which that memory bounds. Change: an event grows by pieces (eventstream.piece); what a stream keeps beyond one read holds bytes of the connection's budget (intake.Holding).

--- a/internal/wire/eventstream/assembler.go
+++ b/internal/wire/eventstream/assembler.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"slices"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -13,8 +12,8 @@
 	Place Place
 	// Response is how far the current response has been read.
 	Response Progress
-	// pending is the part of the current response that follows its last complete event.
-	pending []byte
+	// pending is the part of the current response that follows its last complete event, nil for nothing.
+	pending *piece
 	// hasBegun is set once the current response has brought an event.
 	hasBegun bool
 	// hasPassed is set once an event of the current response has been passed.
@@ -28,7 +27,7 @@
 
 // WithResponse returns the assembler at the start of another response.
 func (a Assembler) WithResponse() Assembler {
-	return Assembler{Place: a.Place, isEventDue: a.isEventDue || (a.Response.InEvent && len(a.pending) > 0)}
+	return Assembler{Place: a.Place, isEventDue: a.isEventDue || (a.Response.InEvent && a.pending != nil)}
 }
 
 // Passed is what a read of a response brings.
@@ -53,15 +52,14 @@
 func (a Assembler) With(data []byte) (Assembler, Passed, error) {
 	var boundary int
 	a.Response, boundary = a.Response.With(data)
-	before := len(a.pending)
-	whole := append(slices.Clip(a.pending), data...)
 	if boundary == 0 {
-		a.pending = whole
+		a.pending = a.pending.with(data)
 		return a, Passed{}, nil
 	}
-	a.pending = slices.Clone(whole[before+boundary:])
+	complete := a.pending.with(data[:boundary]).join()
+	a.pending = (*piece)(nil).with(data[boundary:])
 	var p Passed
-	for _, e := range split(whole[:before+boundary]) {
+	for _, e := range split(complete) {
 		verdict := a.judge(e)
 		a.hasBegun = a.hasBegun || !e.IsFiller
 		switch verdict {
@@ -109,5 +107,8 @@
 	return nil
 }
 
+// Size returns the number of bytes that the assembler keeps of the stream.
+func (a Assembler) Size() int { return a.pending.length() + len(a.Place.text) }
+
 // Rest returns what a response that has ended has sent behind its last complete event.
-func (a Assembler) Rest() []byte { return a.pending }
+func (a Assembler) Rest() []byte { return a.pending.join() }
--- a/internal/wire/gateway/stream.go
+++ b/internal/wire/gateway/stream.go
@@ -9,10 +9,23 @@
 
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/eventstream"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/intake"
 )
 
 var errEventTooLarge = errors.New("event is too large")
 
+// eventCopies is the number of copies of an unfinished event while a read is added to it.
+const eventCopies = 2
+
+// holdEvent waits until there is room for what is kept of a stream. What one read brings has room in the connection's buffers.
+func (rw *responseWriter) holdEvent(ctx context.Context, held *intake.Holding) error {
+	size := rw.assembler.Size()
+	if size <= readSize {
+		size = 0
+	}
+	return held.Resize(ctx, int64(eventCopies*size))
+}
+
 // stream passes the complete events of a response on as they arrive. Another target may continue a resumable stream after them.
 func (rw *responseWriter) stream(ctx context.Context, r *http.Request, resp *connection.Response, resumable bool) sendResult {
 	if !hasEvents(resp) {
@@ -21,6 +34,8 @@
 	rw.assembler = rw.assembler.WithResponse()
 	rw.received = receivedBody{framing: resp.Framing, events: &eventstream.Progress{}}
 	buf := make([]byte, readSize)
+	held := rw.conn.NewHolding()
+	defer held.Free()
 	eventless := 0
 	for {
 		n, err := resp.Body.Read(buf)
@@ -40,6 +55,9 @@
 			if eventless > maxEventBytes {
 				failure = errEventTooLarge
 			}
+			if failure == nil {
+				failure = rw.holdEvent(ctx, held)
+			}
 			if failure != nil {
 				return rw.interruption(ctx, r, resumable, failure)
 			}
