Bound what is looked through at once for a second response

Cause: a body may hold another response, and each place that seems to begin one was looked through up to the end of the read. Reads of large bodies are large. Change: reads that are looked through have 16 KiB at most. TestCopyFilterLooksThroughLittleAtOnce reads 4 MB at once before. Conclusion: the time grows with the bytes, and copies are bounded by the read.

--- a/internal/wire/connection/copy.go
+++ b/internal/wire/connection/copy.go
@@ -15,6 +15,9 @@
 // maxCopyHeadBytes bounds the head of a second response that is looked for behind a body.
 const maxCopyHeadBytes = 16 << 10
 
+// maxFilteredRead bounds what is looked through at once: each byte in it may begin a head that is looked for up to the end.
+const maxFilteredRead = 16 << 10
+
 // copyFilter reads a body behind or within which another response may stand. A second response to the same request ends a body that
 // ends with its connection, since nothing else marks its end. A response to an earlier request of the connection is an error: the
 // rest of the body cannot be told from it.
@@ -60,6 +63,7 @@
 }
 
 func (f *copyFilter) Read(p []byte) (int, error) {
+	p = p[:min(len(p), maxFilteredRead)]
 	if len(f.ready) == 0 && len(f.pending) == 0 && f.err == nil {
 		n, err := f.body.Read(p)
 		if bytes.IndexByte(p[:n], versionPrefix[0]) < 0 {
--- a/internal/wire/connection/copy_test.go
+++ b/internal/wire/connection/copy_test.go
@@ -73,3 +73,31 @@
 		}
 	})
 }
+
+// readSizes is an endless body that begins a head again and again, and records the largest read.
+type readSizes struct{ largest int }
+
+func (r *readSizes) Read(p []byte) (int, error) {
+	r.largest = max(r.largest, len(p))
+	return copy(p, bytes.Repeat([]byte(versionPrefix), 1+len(p)/len(versionPrefix))), nil
+}
+
+// TestCopyFilterLooksThroughLittleAtOnce guards against a large read of a body that seems to begin a head at many places, each of which is
+// looked for up to the end of the read: 4 MB took 38 s.
+func TestCopyFilterLooksThroughLittleAtOnce(t *testing.T) {
+	body := &readSizes{}
+	f := &copyFilter{body: io.NopCloser(body), isOwn: func(http.Header) bool { return false }, status: http.StatusOK}
+	buf := make([]byte, 4<<20)
+	for range 4 {
+		n, err := f.Read(buf)
+		if err != nil || n == 0 {
+			t.Fatalf("got %d bytes and error %v, want some", n, err)
+		}
+	}
+	if body.largest > maxFilteredRead {
+		t.Errorf("got a read of %d bytes, want at most %d", body.largest, maxFilteredRead)
+	}
+	if got, most := len(f.ready)+len(f.pending), maxFilteredRead+maxCopyHeadBytes; got > most {
+		t.Errorf("got %d bytes kept, want at most %d", got, most)
+	}
+}
