Bound heads and streams of the product's own targets

Cause: the HTTP library takes 10 MB of a response's header by default, and the events of a stream were bounded by nothing, although each is kept for callers that resume it (a report of other operators: bytes without end). Change: 64 KiB of header, and one bound of 8 MiB for a response, stream or not. Conclusion: an attempt costs a bounded amount, whatever its target sends.

--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -40,11 +40,13 @@
 const ReasonDraining = "leaving"
 
 const (
-	clientName       = "target"
-	dialTimeout      = 500 * time.Millisecond
-	idleTimeout      = 30 * time.Second
-	cancelTimeout    = time.Second
+	clientName    = "target"
+	dialTimeout   = 500 * time.Millisecond
+	idleTimeout   = 30 * time.Second
+	cancelTimeout = time.Second
+	// maxResponseBytes bounds a response without its header, also a stream, whose events are kept for callers that resume it.
 	maxResponseBytes = 8 << 20
+	maxHeadBytes     = 64 << 10
 	maxLineBytes     = 1 << 20
 )
 
@@ -136,8 +138,10 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		// A header costs many times its bytes if its lines are short.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	alone := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	alone := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	tc = &targetConns{
 		transport: transport, http: newService(transport),
 		alone: newService(alone),
@@ -258,15 +262,21 @@
 	onEvent   func(n uint64, data []byte) error
 }
 
-func (r reader) read(body io.Reader) ([]byte, uint64, error) {
-	if !r.attempt.Stream {
-		return r.readResponse(body)
+func (r reader) read(body io.Reader) (output []byte, events uint64, err error) {
+	limited := &io.LimitedReader{R: body, N: maxResponseBytes + 1}
+	if r.attempt.Stream {
+		output, events, err = r.readStream(limited)
+	} else {
+		output, events, err = r.readResponse(limited)
 	}
-	return r.readStream(body)
+	if limited.N <= 0 {
+		return nil, 0, merry.Errorf("response is over %d bytes", maxResponseBytes)
+	}
+	return output, events, err
 }
 
 func (r reader) readResponse(body io.Reader) ([]byte, uint64, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
+	data, err := io.ReadAll(body)
 	if err != nil {
 		return nil, 0, err
 	}
