--- a/internal/wire/gateway/stream.go
+++ b/internal/wire/gateway/stream.go
@@ -14,7 +14,7 @@
 
 var errEventTooLarge = errors.New("event is too large")
 
-// eventCopies is the number of copies of an unfinished event while a read is added to it.
+// eventCopies is the number of copies of an event when it ends: as it was read, and as a whole.
 const eventCopies = 2
 
 // holdEvent waits until there is room for what is kept of a stream. What one read brings has room in the connection's buffers.
