--- a/internal/wire/eventstream/assembler.go
+++ b/internal/wire/eventstream/assembler.go
@@ -13,7 +13,7 @@
 	// Response is how far the current response has been read.
 	Response Progress
 	// pending is the part of the current response that follows its last complete event, nil for nothing.
-	pending *piece
+	pending *fragment
 	// hasBegun is set once the current response has brought an event.
 	hasBegun bool
 	// hasPassed is set once an event of the current response has been passed.
@@ -57,7 +57,7 @@
 		return a, Passed{}, nil
 	}
 	complete := a.pending.with(data[:boundary]).join()
-	a.pending = (*piece)(nil).with(data[boundary:])
+	a.pending = (*fragment)(nil).with(data[boundary:])
 	var p Passed
 	for _, e := range split(complete) {
 		verdict := a.judge(e)
--- a/internal/wire/eventstream/piece_test.go
+++ b/internal/wire/eventstream/fragment_test.go
@@ -28,11 +28,11 @@
 	}
 }
 
-// TestPiecesShareTheirBeginning covers two texts that go on from the same one.
-func TestPiecesShareTheirBeginning(t *testing.T) {
-	start := (*piece)(nil).with([]byte("a")).with(nil).with([]byte("bc"))
+// TestFragmentsShareTheirBeginning covers two texts that go on from the same one.
+func TestFragmentsShareTheirBeginning(t *testing.T) {
+	start := (*fragment)(nil).with([]byte("a")).with(nil).with([]byte("bc"))
 	one, two := start.with([]byte("d")), start.with([]byte("ef"))
-	got := fmt.Sprintf("%s %s %s %q %d", start.join(), one.join(), two.join(), (*piece)(nil).join(), two.length())
+	got := fmt.Sprintf("%s %s %s %q %d", start.join(), one.join(), two.join(), (*fragment)(nil).join(), two.length())
 	if want := `abc abcd abcef "" 5`; got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
