--- a/review/rig/cold.go
+++ b/review/rig/cold.go
@@ -16,7 +16,7 @@
 	coldOverrun = 1.5
 	coldSlack   = 5
 	// coldRate is how many requests the clients send in a second.
-	coldRate = 180
+	coldRate = 240
 	// coldCrash is the number of requests in a second beyond which the cold engine crashes, well above what it tolerates and one and a half
 	// times what the rule allows.
 	coldCrash = 27
--- a/review/rig/relays.go
+++ b/review/rig/relays.go
@@ -43,8 +43,9 @@
 		}
 	}
 	r.configure(1, []map[string]any{route("orden", "unsafe", "bookings", 1, 2500, nil)}, []map[string]any{service("bookings", 110)})
-	for i := range 7 {
-		if _, err := r.addEngine("bookings", r.zones[i%4], 6, 24, 20*time.Millisecond); err != nil {
+	// One engine is in the first zone, so that the nodes there send most of their requests to it.
+	for _, z := range []int{0, 1, 2, 3, 1, 2, 3} {
+		if _, err := r.addEngine("bookings", r.zones[z], 6, 24, 20*time.Millisecond); err != nil {
 			return err
 		}
 	}
--- a/review/rig/spot.go
+++ b/review/rig/spot.go
@@ -17,7 +17,7 @@
 	// notice is how long after its notice an engine is gone.
 	notice = 2 * time.Second
 	// streamRate is how many streams the clients ask for in a second.
-	streamRate = 10
+	streamRate = 20
 )
 
 // spotCase lets an engine report that it drains and kills it two seconds later, while it still sends streams that end with their
