--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -140,6 +140,14 @@
 		e.serveHealth(w)
 		return
 	}
+	if r.URL.Path == "/report" {
+		answer(w, http.StatusOK, map[string]any{"queued": 0, "busy": 0, "freeMb": 18})
+		return
+	}
+	if r.URL.Path == "/stage-free" {
+		answer(w, http.StatusOK, map[string]any{})
+		return
+	}
 	a := arrival{at: time.Now(), id: r.Header.Get("X-Attempt-Id"), engine: e.id, service: e.service, via: r.Header.Get(headerVia)}
 	w.Header().Set("X-Attempt-Id", a.id)
 	w.Header().Set("X-Instance-Id", e.id)
@@ -153,6 +161,10 @@
 		<-r.Context().Done()
 		return
 	}
+	if r.URL.Path == "/stage-run" {
+		e.serveStage(w, r)
+		return
+	}
 	if !e.enter() {
 		e.journal.addArrival(a)
 		w.Header().Set("X-Not-Executed", "1")
