--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -68,6 +68,8 @@
 type changeSource struct {
 	mu   sync.Mutex
 	mode sourceMode
+	// contact is when the store had last answered a relay that this node followed, zero if it has followed none.
+	contact time.Time
 	// changed is closed and replaced when the mode changes.
 	changed chan struct{}
 	// settled is closed settleTime after the start, nodesRead once the nodes' entries have been read after it; readOnce
@@ -103,6 +105,25 @@
 	return former
 }
 
+// recordContact records when the store had last answered the relay that is followed.
+func (s *changeSource) recordContact(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.contact) {
+		s.contact = at
+	}
+}
+
+// contactAge returns how long ago the store had last answered a relay of this node, 0 if it has followed none.
+func (s *changeSource) contactAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.contact.IsZero() {
+		return 0
+	}
+	return now.Sub(s.contact)
+}
+
 func (s *changeSource) historyLoss() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -281,7 +302,7 @@
 			continue
 		}
 		if v.source.set(fromStore) == fromRelay {
-			v.cfg.Log.Info("relay: none available, reading from the store")
+			v.cfg.Log.WithField("age_ms", v.source.contactAge(v.cfg.Now()).Milliseconds()).Info("relay: none available, reading from the store")
 		}
 		// The delay is random, so that not all nodes of a lost relay reconnect to it at once.
 		pause(ctx, relayRetryInterval/2+rand.N(relayRetryInterval))
@@ -293,8 +314,12 @@
 func (v *fleetView) followAnyRelay(ctx context.Context) (retry bool) {
 	for _, r := range v.relays() {
 		// The store may serve the next relay although it rejects this one.
+		began := v.cfg.Now()
 		err := v.followRelay(ctx, r)
-		v.cfg.Log.WithError(err).WithField("relay", r.Name).Info("relay: lost")
+		now := v.cfg.Now()
+		v.cfg.Log.WithError(err).WithFields(logrus.Fields{
+			"relay": r.Name, "tried_ms": now.Sub(began).Milliseconds(), "age_ms": v.source.contactAge(now).Milliseconds(),
+		}).Info("relay: lost")
 		if errors.Is(err, errSubstituteEnded) {
 			return v.hasRelay()
 		}
@@ -364,6 +389,7 @@
 		}
 		staleTimer.Stop()
 		staleTimer = time.AfterFunc(report.FreshFor(now), func() { cancel(errRelayStale) })
+		v.source.recordContact(now.Add(-age))
 		v.applyUpdate(u, now.Add(-age))
 		if u.Lists != nil && !followed {
 			followed = true
