Read the store before a change is due, whatever relay is tried

Cause: a node that has lost its relay tries the others one after the other, 0.6 s each, while its own watches of the store stay paused: the time grows with the data centres. A node that starts waits in the same way, and orders of rollouts are read another 1.5 s later. Ruled out: a late answer of the store (110 ms), silence that is noticed late (1.8 s of age, as meant). Change: the age of the node's own view decides. limitAge lets it read the store 0.8 s before a change must be in force, whether it follows a relay, looks for one or has just started. The bounds come from drainMs and configApplyMs; one that is missing no longer counts as zero. Conclusion: a bound on each attempt did not bound their sum.

--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sort"
@@ -22,8 +23,12 @@
 	// longest watch without events plus the time that the report spends on the network.
 	minStoreAge = 1400 * time.Millisecond
 	maxStoreAge = 2200 * time.Millisecond
-	// readTime is reserved for a follower's own read of the store after its relay has become stale.
-	readTime = 1200 * time.Millisecond
+	// readTime is reserved for the search for another relay, and for a follower's own read of the store, after its relay has
+	// become stale; ownReadTime is the part of it for the read alone.
+	readTime    = 1200 * time.Millisecond
+	ownReadTime = 800 * time.Millisecond
+	// defaultApplyTime is the time within which a change must be in force where no bound is known.
+	defaultApplyTime = 3 * time.Second
 )
 
 // RelaysFor returns the relays for a node, best first; there are none for a relay itself and for nodes of a small fleet.
@@ -124,17 +129,27 @@
 	return min(maxStoreAge, max(minStoreAge, applyTime-readTime))
 }
 
+// ReadAge returns the age of a node's own view of the store from which it reads the store itself, given the time within which
+// a change must be in force.
+//
+// It holds whomever the node follows, and also while it tries to follow another node: any number of relays may be silent at
+// once, and the search for one that is not takes longer the more there are.
+func ReadAge(applyTime time.Duration) time.Duration {
+	return max(MaxStoreAge(applyTime), cmp.Or(applyTime, defaultApplyTime)-ownReadTime)
+}
+
 // joinGrace is the additional age that a relay's view may have when a follower joins it, and how long it may.
 const joinGrace = 500 * time.Millisecond
 
-// JoinGrace returns the additional age that the view of a relay may have that has been followed for a time.
+// JoinGrace returns the additional age that the view of a relay may have that has been followed for a time, given the time
+// within which a change must be in force.
 //
 // All followers of a lost relay come to the next one at the same moment. If its watch happens to be late, beside load, it is
 // fresh again within the grace, while all of them would otherwise turn to the store, each with a list and a watch of every
 // kind.
-func JoinGrace(followed time.Duration) time.Duration {
+func JoinGrace(applyTime, followed time.Duration) time.Duration {
 	if followed < joinGrace {
-		return joinGrace
+		return min(joinGrace, ReadAge(applyTime)-MaxStoreAge(applyTime))
 	}
 	return 0
 }
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -94,6 +94,24 @@
 	}
 }
 
+// TestReadAge guards against a node that reads the store itself only once a change has to be in force.
+func TestReadAge(t *testing.T) {
+	for _, c := range []struct{ applyTime, want time.Duration }{
+		{0, 2200 * time.Millisecond}, {2 * time.Second, minStoreAge}, {3 * time.Second, 2200 * time.Millisecond}, {4 * time.Second, 3200 * time.Millisecond},
+	} {
+		got := ReadAge(c.applyTime)
+		if got != c.want {
+			t.Errorf("changes in force within %s: got %s, want %s", c.applyTime, got, c.want)
+		}
+		if oldest := MaxStoreAge(c.applyTime) + JoinGrace(c.applyTime, 0); oldest > got {
+			t.Errorf("changes in force within %s: got a relay followed at an age of %s, want it left after %s", c.applyTime, oldest, got)
+		}
+		if got := JoinGrace(c.applyTime, joinGrace); got != 0 {
+			t.Errorf("changes in force within %s: got %s of grace for a relay that has been followed, want none", c.applyTime, got)
+		}
+	}
+}
+
 func TestReportFresh(t *testing.T) {
 	now := time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
 	for _, c := range []struct {
--- a/internal/operator/gatewaynode/node.go
+++ b/internal/operator/gatewaynode/node.go
@@ -109,6 +109,7 @@
 	go n.sweepConnections(ctx)
 	go n.bootstrap(ctx)
 	go n.view.followRelays(ctx)
+	go n.view.limitAge(ctx)
 	go n.awaitCrashes(ctx)
 	go n.view.crashes.writeReports(ctx)
 	go n.view.crashes.logVerdicts(ctx)
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -163,6 +163,7 @@
 func (v *fleetView) runInformer(ctx context.Context, kind string, h kindHandler) {
 	store := &pausingStore{
 		Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind, rolloutKind: v.cfg.Platform.RolloutKind, now: v.cfg.Now, listPurpose: object.PurposeStart,
+		untilRead: func() time.Duration { return v.untilRead(v.cfg.Now()) },
 		isUnavailable: func() bool {
 			v.mu.Lock()
 			defer v.mu.Unlock()
@@ -316,6 +317,18 @@
 	}
 }
 
+// recordRelayContact records that the store answered the relay of this node at a time, for all kinds. Whether it would answer this node
+// is not known from that.
+func (v *fleetView) recordRelayContact(at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for kind := range v.handlers() {
+		if at.After(v.lastContact[kind]) {
+			v.lastContact[kind] = at
+		}
+	}
+}
+
 // mayHaveLapsed reports whether entries of live targets may have lapsed in a time without contact with the store: a watch that was cut
 // off is no outage.
 func mayHaveLapsed(silence, heartbeat time.Duration) bool {
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -37,6 +37,14 @@
 	Callers CallerBounds
 }
 
+// ApplyTime returns the time within which every change must be in force, 0 if the settings name none.
+func (g Gateway) ApplyTime() time.Duration {
+	if g.DrainTime == 0 || g.ConfigTime == 0 {
+		return max(g.DrainTime, g.ConfigTime)
+	}
+	return min(g.DrainTime, g.ConfigTime)
+}
+
 // Rollout limits what a bad version of a service may cost while it replaces another one.
 type Rollout struct {
 	// Share and Slack limit the requests to a bad version over all nodes: the share of all requests to the service, plus Slack.
--- a/internal/operator/settings/settings_test.go
+++ b/internal/operator/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 )
 
 const validSettings = `
@@ -64,3 +65,14 @@
 		}
 	}
 }
+
+// TestApplyTime guards against a missing bound that counts as one of no time.
+func TestApplyTime(t *testing.T) {
+	for _, c := range []struct{ drain, config, want time.Duration }{
+		{0, 0, 0}, {2 * time.Second, 0, 2 * time.Second}, {0, 3 * time.Second, 3 * time.Second}, {4 * time.Second, 3 * time.Second, 3 * time.Second},
+	} {
+		if got := (Gateway{DrainTime: c.drain, ConfigTime: c.config}).ApplyTime(); got != c.want {
+			t.Errorf("drain time %s, configuration time %s: got %s, want %s", c.drain, c.config, got, c.want)
+		}
+	}
+}
