Take over from lost relays with a watch instead of lists

Seen by operators: a node that loses its relays lists every kind. A list of targets has a page for every 50 to 500 of them; on a store that serves 1,500 calls a second, 74 followers of one data centre would need more than the 0.8 s that are left before a change is due (reckoned, not measured). Cause: the informer was told that its history is gone, although the node knows the version up to which its relays have passed on all changes. Change: the watch goes on from that version if the last change of the kind is no more than 8 s old; otherwise, and if the store says that its history is gone, the node lists as before. A node reads the store at an age of 2.8 s at the latest, so that 1.2 s are left where 4 s are allowed. Measured: TestTakeOverListsNoTargetsThatChange failed before, each of 15 followers listed the targets once more; none does now. The other tests of silent relays pass: 2.1, 2.2 and 2.8 s at most (3, 3 and 4 s allowed). Conclusion: reading early after a loss costs the store less than before.

--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -27,6 +27,8 @@
 	// become stale; ownReadTime is the part of it for the read alone.
 	readTime    = 1200 * time.Millisecond
 	ownReadTime = 800 * time.Millisecond
+	// maxReadAge leaves a large fleet more time to read than ownReadTime where a change need not be in force soon.
+	maxReadAge = 2800 * time.Millisecond
 	// defaultApplyTime is the time within which a change must be in force where no bound is known.
 	defaultApplyTime = 3 * time.Second
 )
@@ -135,7 +137,7 @@
 // It holds whomever the node follows, and also while it tries to follow another node: any number of relays may be silent at
 // once, and the search for one that is not takes longer the more there are.
 func ReadAge(applyTime time.Duration) time.Duration {
-	return max(MaxStoreAge(applyTime), cmp.Or(applyTime, defaultApplyTime)-ownReadTime)
+	return min(maxReadAge, max(MaxStoreAge(applyTime), cmp.Or(applyTime, defaultApplyTime)-ownReadTime))
 }
 
 // joinGrace is the additional age that a relay's view may have when a follower joins it, and how long it may.
--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -18,6 +18,8 @@
 	// rolloutPatience is how long orders of rollouts are not read from the store after a relay was lost, unless the node's view
 	// of them gets too old before.
 	rolloutPatience = 1500 * time.Millisecond
+	// resumeAge is how old the newest change of a kind may be for a watch to go on from it: much less than the history of a store.
+	resumeAge = 8 * time.Second
 	// lossSpread is longer than any watch but that of the nodes' objects.
 	lossSpread = 3 * time.Second
 )
@@ -153,6 +155,9 @@
 	isUnavailable func() bool
 	// untilRead returns how long the node may still wait before it must read the store itself.
 	untilRead func() time.Duration
+	// resumeVersion returns the version of a kind up to which relays have passed on all changes; it returns false if the store may
+	// no longer have the later ones.
+	resumeVersion func(kind string) (object.Version, bool)
 	// listPurpose is what the next list is for.
 	listPurpose object.Purpose
 }
@@ -200,7 +205,12 @@
 			return err
 		}
 		s.listPurpose = object.PurposeTakeOver
-		return errRelayLost
+		// All followers of a lost relay may come to the store at once, and a list of many targets costs each of them many calls.
+		passed, ok := s.resumeVersion(kind)
+		if !ok {
+			return errRelayLost
+		}
+		version = max(version, passed)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -163,7 +163,8 @@
 func (v *fleetView) runInformer(ctx context.Context, kind string, h kindHandler) {
 	store := &pausingStore{
 		Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind, rolloutKind: v.cfg.Platform.RolloutKind, now: v.cfg.Now, listPurpose: object.PurposeStart,
-		untilRead: func() time.Duration { return v.untilRead(v.cfg.Now()) },
+		untilRead:     func() time.Duration { return v.untilRead(v.cfg.Now()) },
+		resumeVersion: func(kind string) (object.Version, bool) { return v.resumeVersion(v.cfg.Now(), kind) },
 		isUnavailable: func() bool {
 			v.mu.Lock()
 			defer v.mu.Unlock()
@@ -211,6 +212,8 @@
 type cachedList struct {
 	version object.Version
 	objects map[string]object.Object
+	// changedAt is when the newest change was received, zero if there was none since the list.
+	changedAt time.Time
 }
 
 func (c *cachedList) list() object.List {
@@ -247,6 +250,7 @@
 		v.cached[kind] = c
 	}
 	c.version = max(c.version, e.Object.Version)
+	c.changedAt = v.cfg.Now()
 	if e.Type == object.Put {
 		c.objects[e.Object.Name] = e.Object
 	} else {
@@ -255,6 +259,18 @@
 	}
 }
 
+// resumeVersion returns the version of a kind up to which all changes have been received; it returns false if the store may no longer have
+// the later ones.
+func (v *fleetView) resumeVersion(now time.Time, kind string) (object.Version, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c := v.cached[kind]
+	if c == nil || now.Sub(c.changedAt) > resumeAge {
+		return 0, false
+	}
+	return c.version, true
+}
+
 // Lists returns the cached objects by kind.
 func (v *fleetView) Lists() map[string]object.List {
 	v.mu.Lock()
