Watch again from where a take-over began

Cause: when the first watch of a take-over fails, the informer watches again from the version of its own last list, which may be older than the store's history: the node would list, and its other kinds with it. Change: the watch keeps the version from which it took over. Measured: the tests of take-overs and restores pass; the failing watch itself is not tested.

--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -158,6 +158,8 @@
 	// resumeVersion returns the version of a kind up to which relays have passed on all changes; it returns false if the store may
 	// no longer have the later ones.
 	resumeVersion func(kind string) (object.Version, bool)
+	// resumedAt is the version from which the watch last went on after a relay was lost.
+	resumedAt object.Version
 	// listPurpose is what the next list is for.
 	listPurpose object.Purpose
 }
@@ -210,8 +212,9 @@
 		if !ok {
 			return errRelayLost
 		}
-		version = max(version, passed)
+		s.resumedAt = passed
 	}
+	version = max(version, s.resumedAt)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
