Renew the long watches when the store's connections fall silent

Seen by callers: none yet; by operators: with open connections silent, or the store's history lost, nodes know an order of a rollout 5.0 s and another node's entry, as well as reports of crashes, 9.2 s after they were accepted, where 3 s are allowed for changes. Cause: each watch finds out by its own wait that it is silent, and kinds that rarely change wait 5 and 10 s. Only the loss of history was passed on, to the watch of nodes. Change: once the store answers again after a watch that was never answered, the watches that wait longer are made again from the same version; lost history makes all of them list. At most once in 3 s. Measured: TestChangesAreKnownAfterSilentWatches failed before (orders 5.01 and 5.05 s, nodes 9.15 and 5.05 s, 3 s allowed); it passes in four runs. A first form that renewed them before the store answered made 42 calls in TestFollowersStayWhileStoreLosesHistory, at most 40 are allowed; this one passes there in four runs. Conclusion: what one connection shows holds for the others.

--- a/internal/operator/gatewaynode/source.go
+++ b/internal/operator/gatewaynode/source.go
@@ -20,7 +20,7 @@
 	rolloutPatience = 1500 * time.Millisecond
 	// resumeAge is how old the newest change of a kind may be for a watch to go on from it: much less than the history of a store.
 	resumeAge = 8 * time.Second
-	// lossSpread is longer than any watch but that of the nodes' objects.
+	// lossSpread is longer than the watches of most kinds: all of them show the same loss within it.
 	lossSpread = 3 * time.Second
 )
 
@@ -30,9 +30,11 @@
 	errRelayFollowed = merry.Sentinel("a relay supplies the changes")
 	// errRelayLost makes the informer list again because the relay no longer supplies changes.
 	errRelayLost = fmt.Errorf("the relay is lost: %w", object.ErrGone)
-	// errHistoryLost ends the watch of the nodes' objects, which the store would hold open for long, when another watch shows
-	// that the store has lost its history.
+	// errHistoryLost ends a watch that the store would hold open for long, when another watch shows that the store has lost its
+	// history.
 	errHistoryLost = fmt.Errorf("another watch has lost its history: %w", object.ErrGone)
+	// errWatchRenewed ends such a watch, to be made again from the same version, when another one was never answered.
+	errWatchRenewed = merry.Sentinel("another watch was not answered")
 )
 
 // sourceMode is where the changes of the store's objects come from.
@@ -57,13 +59,14 @@
 	settled   chan struct{}
 	nodesRead chan struct{}
 	readOnce  sync.Once
-	// historyLost is closed and replaced when a watch shows that the store has lost its history; lostAt is when it last was.
-	historyLost chan struct{}
-	lostAt      time.Time
+	// historyLost is closed and replaced when a watch shows that the store has lost its history, silent when one was never answered;
+	// lostAt and silentAt are when they last were.
+	historyLost, silent chan struct{}
+	lostAt, silentAt    time.Time
 }
 
 func newChangeSource() *changeSource {
-	return &changeSource{mode: fromStart, changed: make(chan struct{}), historyLost: make(chan struct{}), settled: make(chan struct{}), nodesRead: make(chan struct{})}
+	return &changeSource{mode: fromStart, changed: make(chan struct{}), historyLost: make(chan struct{}), silent: make(chan struct{}), settled: make(chan struct{}), nodesRead: make(chan struct{})}
 }
 
 func (s *changeSource) state() (mode sourceMode, changed <-chan struct{}) {
@@ -101,10 +104,11 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *changeSource) historyLoss() <-chan struct{} {
+// losses returns channels that are closed when another watch shows that the store has lost its history, and when one was never answered.
+func (s *changeSource) losses() (history, silence <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.historyLost
+	return s.historyLost, s.silent
 }
 
 // recordHistoryLoss records that a watch has lost its history; the watches of all kinds show the same loss within lossSpread.
@@ -119,6 +123,19 @@
 	s.historyLost = make(chan struct{})
 }
 
+// recordSilence records that the store answers again after a watch that was never answered: other connections may have fallen silent
+// with that of the watch.
+func (s *changeSource) recordSilence(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.silentAt) < lossSpread {
+		return
+	}
+	s.silentAt = now
+	close(s.silent)
+	s.silent = make(chan struct{})
+}
+
 // recordNodesRead records that the nodes' entries have been read.
 func (s *changeSource) recordNodesRead() {
 	select {
@@ -149,6 +166,8 @@
 	source *changeSource
 	// nodeKind is the kind that a node watches before it knows its relay, rolloutKind the one that can wait for the next relay.
 	nodeKind, rolloutKind string
+	// waitsLong is set for a kind whose watches the store holds open for longer than others.
+	waitsLong bool
 
 	now func() time.Time
 	// isUnavailable reports whether the store does not answer.
@@ -160,6 +179,8 @@
 	resumeVersion func(kind string) (object.Version, bool)
 	// resumedAt is the version from which the watch last went on after a relay was lost.
 	resumedAt object.Version
+	// isUnanswered is set from a watch that was never answered until the store answers the next one.
+	isUnanswered bool
 	// listPurpose is what the next list is for.
 	listPurpose object.Purpose
 }
@@ -222,29 +243,38 @@
 			cancel(errRelayFollowed)
 		}
 	}()
-	if kind == s.nodeKind {
-		lost := s.source.historyLoss()
+	if s.waitsLong {
+		lost, silent := s.source.losses()
 		go func() {
 			select {
 			case <-lost:
 				cancel(errHistoryLost)
+			case <-silent:
+				cancel(errWatchRenewed)
 			case <-ctx.Done():
 			}
 		}()
 	}
 	err := s.Store.Watch(object.WithPurposeFunc(ctx, s.watchPurpose), kind, version, func(e object.Event) {
 		handle(e)
+		if s.isUnanswered {
+			s.isUnanswered = false
+			s.source.recordSilence(s.now())
+		}
 		if kind == s.nodeKind && e.Type == object.Bookmark {
 			s.source.recordNodesRead()
 		}
 	})
-	if errors.Is(context.Cause(ctx), errRelayFollowed) {
-		return errRelayFollowed
-	}
-	if errors.Is(context.Cause(ctx), errHistoryLost) {
-		return errHistoryLost
+	for _, reason := range []error{errRelayFollowed, errHistoryLost, errWatchRenewed} {
+		if errors.Is(context.Cause(ctx), reason) {
+			return reason
+		}
 	}
-	if errors.Is(err, object.ErrGone) {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		s.isUnanswered = true
+	case errors.Is(err, object.ErrGone):
+		s.isUnanswered = false
 		s.source.recordHistoryLoss(s.now())
 	}
 	return err
--- a/internal/operator/gatewaynode/view.go
+++ b/internal/operator/gatewaynode/view.go
@@ -162,7 +162,7 @@
 
 func (v *fleetView) runInformer(ctx context.Context, kind string, h kindHandler) {
 	store := &pausingStore{
-		Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind, rolloutKind: v.cfg.Platform.RolloutKind, now: v.cfg.Now, listPurpose: object.PurposeStart,
+		Store: v.cfg.Store, source: v.source, nodeKind: v.cfg.Platform.NodeKind, rolloutKind: v.cfg.Platform.RolloutKind, waitsLong: kind != v.cfg.Platform.ConfigKind && kind != v.cfg.Platform.TargetKind, now: v.cfg.Now, listPurpose: object.PurposeStart,
 		untilRead:     func() time.Duration { return v.untilRead(v.cfg.Now()) },
 		resumeVersion: func(kind string) (object.Version, bool) { return v.resumeVersion(v.cfg.Now(), kind) },
 		isUnavailable: func() bool {
@@ -390,7 +390,7 @@
 
 // recordFailure records that the store did not answer for a kind.
 func (v *fleetView) recordFailure(kind string, err error) {
-	if errors.Is(err, errRelayFollowed) || errors.Is(err, errRelayLost) {
+	if errors.Is(err, errRelayFollowed) || errors.Is(err, errRelayLost) || errors.Is(err, errWatchRenewed) {
 		return
 	}
 	v.mu.Lock()
