Return to a relay whose view was too old once

Cause: at a bound of 2 s a relay is stale at the same age at which the node reads the store. If its next message comes between the two, the node went on to read the store beside a relay that it follows, for as long as it did. Change: each fresh message of a followed relay pauses the node's own watches again. The end of a relay has a type of its own name. Conclusion: relays go on to save calls after a late message.

--- a/internal/operator/gatewaynode/search.go
+++ b/internal/operator/gatewaynode/search.go
@@ -132,25 +132,25 @@
 			relays = v.relays()
 		}
 		candidates := slices.DeleteFunc(slices.Clone(relays), func(n registry.Node) bool { return lost[n.Name] })
-		r, ok := v.followFirst(ctx, candidates)
+		end, ok := v.followFirst(ctx, candidates)
 		if !ok {
 			return false
 		}
-		if errors.Is(r.err, errSubstituteEnded) {
+		if errors.Is(end.err, errSubstituteEnded) {
 			return v.hasRelay()
 		}
-		if r.lasted >= steadyTime {
+		if end.lasted >= steadyTime {
 			clear(lost)
 		}
-		for _, name := range r.failed {
+		for _, name := range end.failed {
 			lost[name] = true
 		}
 	}
 	return false
 }
 
-// followed is the end of the use of a relay.
-type followed struct {
+// relayEnd is the end of the use of a relay, or of an attempt to follow it.
+type relayEnd struct {
 	relay registry.Node
 	err   error
 	// lasted is the time from the attempt to follow the relay until it was lost.
@@ -161,11 +161,11 @@
 
 // followFirst follows the first of some relays that answers, until it is lost; it returns false if none does. The next relay is tried
 // when an earlier one has failed, or beside it when it has not answered for searchInterval.
-func (v *fleetView) followFirst(ctx context.Context, candidates []registry.Node) (followed, bool) {
+func (v *fleetView) followFirst(ctx context.Context, candidates []registry.Node) (relayEnd, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	race := newRelayRace()
-	ends := make(chan followed, len(candidates))
+	ends := make(chan relayEnd, len(candidates))
 	var failed []string
 	tried, running := 0, 0
 	next := time.NewTimer(0)
@@ -193,17 +193,17 @@
 			next.Reset(0)
 		}
 		if running == 0 && tried == len(candidates) {
-			return followed{}, false
+			return relayEnd{}, false
 		}
 	}
 }
 
 // tryRelay follows a relay if it wins the race, and logs why it was lost.
-func (v *fleetView) tryRelay(ctx context.Context, r registry.Node, race *relayRace) followed {
+func (v *fleetView) tryRelay(ctx context.Context, r registry.Node, race *relayRace) relayEnd {
 	began := v.cfg.Now()
 	err := v.followRelay(ctx, r, race)
 	now := v.cfg.Now()
-	end := followed{relay: r, err: err, lasted: now.Sub(began)}
+	end := relayEnd{relay: r, err: err, lasted: now.Sub(began)}
 	if !errors.Is(err, errRelayNotNeeded) {
 		v.cfg.Log.WithError(err).WithFields(logrus.Fields{
 			"relay": r.Name, "tried_ms": end.lasted.Milliseconds(), "age_ms": v.viewAge(now).Milliseconds(),
@@ -328,6 +328,10 @@
 		staleTimer.Stop()
 		staleTimer = time.AfterFunc(report.FreshFor(now), func() { cancel(errRelayStale) })
 		v.applyUpdate(u, now.Add(-age))
+		if followed {
+			// limitAge may have let the node read the store shortly before this message.
+			v.source.set(fromRelay)
+		}
 		if u.Lists != nil && !followed {
 			followed = true
 			v.source.set(fromRelay)
