Tell the age of a relay's view before its lists

Cause: while the store is away all relays are stale, and each attempt to follow one brought its lists, with 1,440 routes more, before the follower saw their age. Several at a time filled the links, and calls between nodes fell silent. Change: the age goes first, and a node whose view is 3 s old sends no lists. The first relay with a fresh age is followed; the view is renewed only by its lists and what follows.

--- a/internal/operator/gatewaynode/bootstrap_test.go
+++ b/internal/operator/gatewaynode/bootstrap_test.go
@@ -12,12 +12,15 @@
 	"github.com/lacewingdrift/lacewingdrift/internal/operator/settings"
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/snapshot"
+	"github.com/lacewingdrift/lacewingdrift/internal/wire/snapshot/snapshotpb"
 )
 
 // fakePeer is another node with one list of each kind.
 type fakePeer struct {
 	versions map[string]object.Version
 	delay    time.Duration
+	// silent makes the peer send its age and nothing more.
+	silent bool
 }
 
 func (p fakePeer) Lists() map[string]object.List {
@@ -35,13 +38,30 @@
 
 func (fakePeer) Staleness() time.Duration { return 0 }
 
+// agePeer is a node that falls silent once it has told the age of its view.
+type agePeer struct {
+	snapshotpb.UnimplementedSnapshotServer
+}
+
+func (agePeer) Follow(_ *snapshotpb.Request, out grpc.ServerStreamingServer[snapshotpb.Update]) error {
+	if err := out.Send(&snapshotpb.Update{}); err != nil {
+		return err
+	}
+	<-out.Context().Done()
+	return out.Context().Err()
+}
+
 func (p fakePeer) serve(t *testing.T) (address string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := grpc.NewServer()
-	snapshot.Register(s, p)
+	if p.silent {
+		snapshotpb.RegisterSnapshotServer(s, agePeer{})
+	} else {
+		snapshot.Register(s, p)
+	}
 	go func() { _ = s.Serve(ln) }()
 	t.Cleanup(s.Stop)
 	return ln.Addr().String()
--- a/internal/operator/gatewaynode/search.go
+++ b/internal/operator/gatewaynode/search.go
@@ -327,6 +327,10 @@
 		}
 		staleTimer.Stop()
 		staleTimer = time.AfterFunc(report.FreshFor(now), func() { cancel(errRelayStale) })
+		if u.Lists == nil && !followed {
+			// The relay tells the age of its view before it sends the lists.
+			return nil
+		}
 		v.applyUpdate(u, now.Add(-age))
 		if followed {
 			// limitAge may have let the node read the store shortly before this message.
--- a/internal/operator/gatewaynode/search_test.go
+++ b/internal/operator/gatewaynode/search_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// TestAgeOfRelayAloneDoesNotRenewView guards against a view that counts as fresh because a relay has told its age, before its lists have come.
+func TestAgeOfRelayAloneDoesNotRenewView(t *testing.T) {
+	v := newTestView(t, time.Now)
+	v.recordContact("targets", time.Now().Add(-time.Second))
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	address := fakePeer{versions: map[string]object.Version{"other": 1}, silent: true}.serve(t)
+	_ = v.followRelay(ctx, registry.Node{Name: "relay", Datacentre: "a", Address: address}, newRelayRace())
+	if got, least := v.viewAge(time.Now()), time.Second; got < least {
+		t.Errorf("got an age of %s, want at least %s", got, least)
+	}
+	if got, _ := v.source.state(); got != fromStart {
+		t.Errorf("got mode %q, want %q", got, fromStart)
+	}
+}
+
 // TestResumeVersion covers from which version a node watches the store once its relay is lost.
 func TestResumeVersion(t *testing.T) {
 	now := time.Date(2026, 12, 7, 9, 0, 0, 0, time.UTC)
--- a/internal/wire/snapshot/follow.go
+++ b/internal/wire/snapshot/follow.go
@@ -7,6 +7,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/lacewingdrift/lacewingdrift/internal/platform/object"
 	"github.com/lacewingdrift/lacewingdrift/internal/wire/connection"
@@ -19,6 +21,8 @@
 	heartbeatInterval = 300 * time.Millisecond
 	// firstMessageTimeout bounds the time until a relay's first message: a connection, and lists of some 100 KB.
 	firstMessageTimeout = 600 * time.Millisecond
+	// maxFollowedAge is the age of a view from which no node follows it.
+	maxFollowedAge = 3 * time.Second
 	// followerBuffer is how many updates may be queued for a slow follower before it is disconnected: all targets of a
 	// large fleet.
 	followerBuffer = 4096
@@ -85,10 +89,17 @@
 	}
 }
 
-// Follow sends this node's lists and then their changes.
+// Follow sends the age of this node's view, its lists and then their changes.
 func (s server) Follow(_ *snapshotpb.Request, out grpc.ServerStreamingServer[snapshotpb.Update]) error {
+	if age := s.source.Staleness(); age > maxFollowedAge {
+		return status.Errorf(codes.Unavailable, "view of the store is %s old", age.Round(time.Millisecond))
+	}
 	lists, updates, unsubscribe := s.source.Subscribe()
 	defer unsubscribe()
+	// A follower that finds the view too old leaves before the lists, which may be large, have been sent.
+	if err := out.Send(&snapshotpb.Update{AgeUs: s.source.Staleness().Microseconds()}); err != nil {
+		return err
+	}
 	if err := out.Send(&snapshotpb.Update{Lists: toLists(lists), AgeUs: s.source.Staleness().Microseconds()}); err != nil {
 		return err
 	}
